--- /dev/null
+++ b/packages/callers/src/mod.ts
@@ -0,0 +1,5 @@
+/** The callers' interface. */
+export * from "./cursor.ts";
+export * from "./problem.ts";
+export * from "./request_handler.ts";
+export * from "./server.ts";
--- /dev/null
+++ b/packages/core/src/roarr_enabled.ts
@@ -0,0 +1,2 @@
+/** Enables roarr, which reads this variable once, when it is imported. */
+process.env["ROARR_LOG"] ??= "true";
--- /dev/null
+++ b/packages/core/src/timeout.ts
@@ -0,0 +1,22 @@
+/** Bounded waits. */
+
+/** Waits `durationMs`. */
+export function waitFor(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+/** Waits for `promise`, at most `durationMs`; `undefined` if it takes longer. */
+export async function waitAtMost<T>(
+  promise: Promise<T>,
+  durationMs: number,
+): Promise<T | undefined> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<undefined>((resolve) => {
+    timer = setTimeout(() => resolve(undefined), durationMs);
+  });
+  try {
+    return await Promise.race([promise, timeout]);
+  } finally {
+    clearTimeout(timer);
+  }
+}
--- /dev/null
+++ b/packages/engines/src/http_engine_client.ts
@@ -0,0 +1,227 @@
+/**
+ * Engines over HTTP in the OpenAI shape:
+ * - `POST /v1/completions`, `/v1/chat/completions`: starts a generation, streamed as SSE;
+ *   headers `x-generation-id`, `x-model-version`, `x-request-id`; event ids `{generation}:{sequence}`.
+ * - `GET /v1/generations/{id}` with `Last-Event-ID`: resumes after that event.
+ * - `DELETE /v1/generations/{id}`: cancels. `GET /v1/generations`: lists.
+ * - `GET /status`: load report. `POST /orders`: an order with a fencing number.
+ */
+
+import * as core from "@peridotvale/core";
+import * as neverthrow from "neverthrow";
+import * as undici from "undici";
+import type * as client from "./engine_client.ts";
+import * as errors from "./errors.ts";
+import * as sse from "./sse_stream.ts";
+
+/** Options of {@linkcode HttpEngineClient}. */
+export interface HttpEngineClientOptions {
+  readonly connectTimeoutMs: number;
+  /** Bound on the wait for an answer's headers. */
+  readonly answerTimeoutMs: number;
+  /** Silence after which a stream's connection is given up. */
+  readonly silenceMs: number;
+}
+
+const PATHS = {
+  completion: "/v1/completions",
+  chat: "/v1/chat/completions",
+} as const;
+
+/** {@linkcode client.EngineClient} over HTTP. */
+export class HttpEngineClient implements client.EngineClient {
+  readonly #options: HttpEngineClientOptions;
+  readonly #agent: undici.Agent;
+
+  constructor(options: HttpEngineClientOptions) {
+    this.#options = options;
+    this.#agent = new undici.Agent({
+      connect: { timeout: options.connectTimeoutMs },
+    });
+  }
+
+  startGeneration(
+    endpoint: core.EndpointId,
+    request: client.EngineRequest,
+    options: { readonly signal: AbortSignal },
+  ): client.EngineResult<client.EngineStream> {
+    const body = {
+      ...request.body,
+      stream: true,
+      seed: request.seed,
+      max_tokens: request.maxTokens,
+      priority: request.priority,
+    };
+    return this.#openStream(endpoint, {
+      path: PATHS[request.kind],
+      method: "POST",
+      body: JSON.stringify(body),
+      headers: {
+        "content-type": "application/json",
+        "x-request-id": request.attempt,
+      },
+      attempt: request.attempt,
+      signal: options.signal,
+    });
+  }
+
+  resumeGeneration(
+    endpoint: core.EndpointId,
+    request: client.ResumeRequest,
+    options: { readonly signal: AbortSignal },
+  ): client.EngineResult<client.EngineStream> {
+    const headers: Record<string, string> = { "x-request-id": request.attempt };
+    if (request.from > 0) {
+      headers["last-event-id"] = `${request.generation}:${request.from - 1}`;
+    }
+    return this.#openStream(endpoint, {
+      path: `/v1/generations/${encodeURIComponent(request.generation)}`,
+      method: "GET",
+      headers,
+      attempt: request.attempt,
+      signal: options.signal,
+    });
+  }
+
+  async cancelGeneration(
+    endpoint: core.EndpointId,
+    generation: core.GenerationId,
+  ): client.EngineResult<void> {
+    const path = `/v1/generations/${encodeURIComponent(generation)}`;
+    const answer = await this.#call(endpoint, { method: "DELETE", path });
+    return answer.map(() => undefined);
+  }
+
+  async listGenerations(
+    endpoint: core.EndpointId,
+  ): client.EngineResult<readonly client.RunningGeneration[]> {
+    const answer = await this.#call(endpoint, {
+      method: "GET",
+      path: "/v1/generations",
+    });
+    return answer.map((list) =>
+      (list as { readonly generations: readonly client.RunningGeneration[] })
+        .generations
+    );
+  }
+
+  async readStatus(
+    endpoint: core.EndpointId,
+  ): client.EngineResult<client.EngineStatus> {
+    const answer = await this.#call(endpoint, {
+      method: "GET",
+      path: "/status",
+    });
+    return answer.map((status) => status as client.EngineStatus);
+  }
+
+  async sendOrder(
+    endpoint: core.EndpointId,
+    order: client.EngineOrder,
+    options: { readonly fencing: number },
+  ): client.EngineResult<void> {
+    const body = JSON.stringify({ fencing: options.fencing, order });
+    const answer = await this.#call(endpoint, {
+      method: "POST",
+      path: "/orders",
+      body,
+    });
+    return answer.map(() => undefined);
+  }
+
+  async #openStream(
+    endpoint: core.EndpointId,
+    call: {
+      readonly path: string;
+      readonly method: "GET" | "POST";
+      readonly headers: Record<string, string>;
+      readonly body?: string;
+      readonly attempt: string;
+      readonly signal: AbortSignal;
+    },
+  ): client.EngineResult<client.EngineStream> {
+    try {
+      const response = await undici.request(`http://${endpoint}${call.path}`, {
+        method: call.method,
+        headers: call.headers,
+        body: call.body ?? null,
+        dispatcher: this.#agent,
+        headersTimeout: this.#options.answerTimeoutMs,
+        bodyTimeout: 0,
+        signal: call.signal,
+      });
+      if (response.statusCode !== 200) {
+        return neverthrow.err(await readRefusal(response));
+      }
+      const { headers } = response;
+      if (headers["x-request-id"] !== call.attempt) {
+        response.body.on("error", () => {}).destroy();
+        return neverthrow.err(
+          createCrossedError(String(headers["x-request-id"])),
+        );
+      }
+      return neverthrow.ok(
+        new sse.SseStream(response.body, {
+          generation: core.createId<core.GenerationId>(
+            String(headers["x-generation-id"]),
+          ),
+          version: String(headers["x-model-version"]),
+          silenceMs: this.#options.silenceMs,
+        }),
+      );
+    } catch (error) {
+      return neverthrow.err(errors.createEngineError(error));
+    }
+  }
+
+  async #call(
+    endpoint: core.EndpointId,
+    call: {
+      readonly method: "GET" | "POST" | "DELETE";
+      readonly path: string;
+      readonly body?: string;
+    },
+  ): client.EngineResult<unknown> {
+    try {
+      const response = await undici.request(`http://${endpoint}${call.path}`, {
+        method: call.method,
+        body: call.body ?? null,
+        headers: { "content-type": "application/json" },
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(this.#options.answerTimeoutMs),
+      });
+      if (response.statusCode !== 200) {
+        return neverthrow.err(await readRefusal(response));
+      }
+      return neverthrow.ok(await response.body.json());
+    } catch (error) {
+      return neverthrow.err(errors.createEngineError(error));
+    }
+  }
+}
+
+async function readRefusal(
+  response: undici.Dispatcher.ResponseData,
+): Promise<errors.EngineError> {
+  const message = (await response.body.text()).slice(0, 200);
+  const status = response.statusCode;
+  if (status === 404) {
+    return { outcome: "not_run", code: "unknown_generation", message };
+  }
+  if (status === 429 || status === 503 || status === 409 || status === 400) {
+    return { outcome: "not_run", code: "refused", message };
+  }
+  return {
+    outcome: "failed",
+    code: "protocol",
+    message: `status ${status}: ${message}`,
+  };
+}
+
+function createCrossedError(echoed: string): errors.EngineError {
+  return {
+    outcome: "unknown",
+    code: "crossed",
+    message: `answer to another request: ${echoed}`,
+  };
+}
--- /dev/null
+++ b/packages/engines/src/sse_stream.ts
@@ -0,0 +1,162 @@
+/** Reads one generation's server-sent events and checks that they belong to it. */
+
+import * as stringDecoder from "node:string_decoder";
+import * as eventsource from "eventsource-parser";
+import * as neverthrow from "neverthrow";
+import type * as core from "@peridotvale/core";
+import type * as undici from "undici";
+import type * as client from "./engine_client.ts";
+import * as errors from "./errors.ts";
+
+type Body = undici.Dispatcher.ResponseData["body"];
+
+interface WireChoice {
+  readonly text?: string;
+  readonly delta?: { readonly content?: string };
+  readonly finish_reason: string | null;
+}
+
+interface WireData {
+  readonly choices: readonly WireChoice[];
+  readonly usage?: { readonly prompt_tokens: number };
+}
+
+/** Options of {@linkcode SseStream}. */
+export interface SseStreamOptions {
+  readonly generation: core.GenerationId;
+  readonly version: string;
+  /** Silence after which the connection is given up. */
+  readonly silenceMs: number;
+}
+
+/** {@linkcode client.EngineStream} over an HTTP response body. */
+export class SseStream implements client.EngineStream {
+  readonly generation: core.GenerationId;
+  readonly version: string;
+  readonly #body: Body;
+  readonly #silenceMs: number;
+  readonly #idPrefix: string;
+  #sink: client.EngineEventSink | undefined;
+  #error: errors.EngineError | undefined;
+  #ended = false;
+  #heardAt = 0;
+
+  constructor(body: Body, options: SseStreamOptions) {
+    this.#body = body;
+    this.generation = options.generation;
+    this.version = options.version;
+    this.#silenceMs = options.silenceMs;
+    this.#idPrefix = `${options.generation}:`;
+    body.on("error", () => {});
+  }
+
+  async relay(
+    sink: client.EngineEventSink,
+  ): Promise<neverthrow.Result<void, errors.EngineError>> {
+    this.#sink = sink;
+    const parser = eventsource.createParser({
+      onEvent: (message) => this.#applyMessage(message),
+    });
+    const stopWatching = this.#watchSilence();
+    const decoder = new stringDecoder.StringDecoder("utf8");
+    try {
+      for await (const chunk of this.#body) {
+        this.#heardAt = performance.now();
+        parser.feed(decoder.write(chunk as Buffer));
+        if (this.#ended || this.#error !== undefined) break;
+        const room = sink.waitForRoom();
+        if (room !== undefined) await room;
+        this.#heardAt = performance.now();
+      }
+    } catch (error) {
+      this.#error ??= errors.createEngineError(error);
+    } finally {
+      stopWatching();
+      this.close();
+    }
+    if (this.#ended) return neverthrow.ok(undefined);
+    return neverthrow.err(
+      this.#error ??
+        {
+          outcome: "failed",
+          code: "connection_lost",
+          message: "stream ended before its end",
+        },
+    );
+  }
+
+  close(): void {
+    this.#body.destroy();
+  }
+
+  /** A connection that something in between has forgotten stays open and silent. */
+  #watchSilence(): () => void {
+    this.#heardAt = performance.now();
+    const timer = setInterval(() => {
+      if (performance.now() - this.#heardAt < this.#silenceMs) return;
+      this.#fail("silent", `nothing heard for ${this.#silenceMs} ms`);
+      this.#body.destroy();
+    }, this.#silenceMs / 4);
+    return () => clearInterval(timer);
+  }
+
+  #applyMessage(message: eventsource.EventSourceMessage): void {
+    if (this.#ended || this.#error !== undefined) return;
+    if (message.data === "[DONE]") return;
+    if (message.event === "error") {
+      this.#fail("aborted", message.data, "failed");
+      return;
+    }
+    const id = message.id ?? "";
+    if (!id.startsWith(this.#idPrefix)) {
+      this.#fail("crossed", `event of another generation: ${id}`);
+      return;
+    }
+    const sequence = Number(id.slice(this.#idPrefix.length));
+    const event = decodeEvent(message.data, sequence);
+    if (event === undefined) {
+      this.#fail("protocol", `unreadable event: ${message.data.slice(0, 80)}`);
+      return;
+    }
+    if (event.type === "end") this.#ended = true;
+    if (this.#sink?.onEvent(event) === false) {
+      this.#ended = false;
+      this.#fail("aborted", "stopped by its reader");
+    }
+  }
+
+  #fail(
+    code: errors.EngineError["code"],
+    message: string,
+    outcome: core.FailureOutcome = "unknown",
+  ): void {
+    this.#error ??= { outcome, code, message };
+  }
+}
+
+function decodeEvent(
+  data: string,
+  sequence: number,
+): client.EngineEvent | undefined {
+  if (!Number.isInteger(sequence) || sequence < 0) return undefined;
+  try {
+    const parsed = JSON.parse(data) as WireData;
+    const choice = parsed.choices[0]!;
+    if (choice.finish_reason !== null) {
+      const promptTokens = parsed.usage?.prompt_tokens ?? 0;
+      return {
+        type: "end",
+        sequence,
+        finishReason: choice.finish_reason,
+        promptTokens,
+      };
+    }
+    return {
+      type: "token",
+      sequence,
+      text: choice.text ?? choice.delta?.content ?? "",
+    };
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/capacity_client.ts
@@ -0,0 +1,315 @@
+/** Asks the owners of engines for capacity on behalf of this process's requests. */
+
+import * as core from "@peridotvale/core";
+import type * as policy from "@peridotvale/policy";
+import * as neverthrow from "neverthrow";
+
+/** A way to one owner's scheduler. */
+export interface CapacityLink {
+  /** Whether the owner is thought to answer. */
+  isOpen(): boolean;
+  /** Sends an event; effects come back to the client. */
+  send(event: policy.SchedulerEvent): void;
+}
+
+/** Chooses the owners that a request may ask, the preferred first. */
+export interface LinkChooser {
+  chooseLinks(capacity: policy.CapacityRequest): readonly CapacityLink[];
+  /** The owner of one engine, to register an open stream with. */
+  chooseOwner(endpoint: core.EndpointId): CapacityLink | undefined;
+}
+
+/** Why no capacity was granted. */
+export interface CapacityRefusal {
+  readonly reason: policy.RefusalReason | "cancelled";
+  readonly retryAfterMs: number;
+}
+
+/** Capacity of one engine, held until `end`. */
+export interface CapacityGrant {
+  readonly endpoint: core.EndpointId;
+  readonly queuedMs: number;
+  /** Records generated tokens. */
+  recordTokens(count: number): void;
+  /** Gives the capacity back; `ended` if the generation came to its own end. */
+  end(ended: boolean): void;
+  /** Aborts when the owner takes the capacity back. */
+  readonly evicted: AbortSignal;
+}
+
+interface Ask {
+  readonly capacity: policy.CapacityRequest;
+  readonly links: CapacityLink[];
+  link: CapacityLink;
+  resolve: (result: neverthrow.Result<CapacityGrant, CapacityRefusal>) => void;
+  timer: NodeJS.Timeout | undefined;
+}
+
+interface OpenGrant {
+  readonly capacity: policy.CapacityRequest;
+  readonly endpoint: core.EndpointId;
+  readonly evict: AbortController;
+  link: CapacityLink;
+  unreportedTokens: number;
+  emittedTokens: number;
+}
+
+/** Wait for an owner's word on a request that it has not refused or granted, before the next. */
+const OWNER_SILENCE_MS = 300;
+const REPORT_INTERVAL_MS = 100;
+
+/** Keeps the open asks and grants of this process. */
+export class CapacityClient {
+  readonly #chooser: LinkChooser;
+  readonly #asks = new Map<core.RequestId, Ask>();
+  readonly #grants = new Map<core.RequestId, OpenGrant>();
+
+  constructor(options: { readonly chooser: LinkChooser }) {
+    this.#chooser = options.chooser;
+  }
+
+  /** Asks for capacity; resolves when it is granted or refused. */
+  acquire(
+    capacity: policy.CapacityRequest,
+    options: { readonly signal: AbortSignal },
+  ): Promise<neverthrow.Result<CapacityGrant, CapacityRefusal>> {
+    const [first, ...links] = this.#chooser.chooseLinks(capacity);
+    if (first === undefined) {
+      return Promise.resolve(refuse("owner_unreachable"));
+    }
+    if (options.signal.aborted) return Promise.resolve(refuse("cancelled"));
+    return new Promise((resolve) => {
+      const ask: Ask = {
+        capacity,
+        links,
+        link: first,
+        resolve,
+        timer: undefined,
+      };
+      const cancel = () => this.#cancelAsk(ask);
+      options.signal.addEventListener("abort", cancel, { once: true });
+      ask.resolve = (result) => {
+        options.signal.removeEventListener("abort", cancel);
+        clearTimeout(ask.timer);
+        this.#asks.delete(capacity.request);
+        resolve(result);
+      };
+      this.#asks.set(capacity.request, ask);
+      this.#sendAsk(ask);
+    });
+  }
+
+  /** Registers a stream that is open already, such as one resumed from another process. */
+  adopt(
+    capacity: policy.CapacityRequest,
+    options: {
+      readonly endpoint: core.EndpointId;
+      readonly emittedTokens: number;
+    },
+  ): CapacityGrant {
+    const link = this.#chooser.chooseOwner(options.endpoint) ?? CLOSED_LINK;
+    const grant = this.#openGrant(capacity, options.endpoint, {
+      link,
+      queuedMs: 0,
+    });
+    this.#grants.get(capacity.request)!.emittedTokens = options.emittedTokens;
+    link.send({ type: "stream_adopted", stream: { capacity, ...options } });
+    return grant;
+  }
+
+  /** Registers all open streams whose owner has changed with the new one. */
+  reassign(): void {
+    for (const grant of this.#grants.values()) {
+      const link = this.#chooser.chooseOwner(grant.endpoint);
+      if (link === undefined || link === grant.link) continue;
+      grant.link.send({
+        type: "request_ended",
+        request: grant.capacity.request,
+        ended: false,
+      });
+      grant.link = link;
+      const { capacity, endpoint, emittedTokens } = grant;
+      link.send({
+        type: "stream_adopted",
+        stream: { capacity, endpoint, emittedTokens },
+      });
+    }
+  }
+
+  /** Takes an effect that an owner's scheduler asks for. */
+  onEffect(effect: policy.SchedulerEffect, link: CapacityLink): void {
+    switch (effect.type) {
+      case "granted":
+        return this.#applyGrant(effect, link);
+      case "refused":
+        return this.#applyRefusal(effect);
+      case "evicted":
+        return this.#applyEviction(effect);
+    }
+  }
+
+  /** Reports generated tokens to the owners, in batches. */
+  sendReports(): void {
+    for (const grant of this.#grants.values()) {
+      if (grant.unreportedTokens === 0) continue;
+      grant.link.send({
+        type: "tokens_generated",
+        request: grant.capacity.request,
+        tokens: grant.unreportedTokens,
+      });
+      grant.unreportedTokens = 0;
+    }
+  }
+
+  #sendAsk(ask: Ask): void {
+    ask.link.send({ type: "request_arrived", capacity: ask.capacity });
+    clearTimeout(ask.timer);
+    if (ask.links.length === 0 || !this.#asks.has(ask.capacity.request)) return;
+    ask.timer = setTimeout(() => {
+      if (!ask.link.isOpen()) this.#askNext(ask);
+      else this.#watchAsk(ask);
+    }, OWNER_SILENCE_MS);
+  }
+
+  #watchAsk(ask: Ask): void {
+    ask.timer = setTimeout(() => {
+      if (ask.link.isOpen()) this.#watchAsk(ask);
+      else this.#askNext(ask);
+    }, OWNER_SILENCE_MS);
+  }
+
+  #askNext(ask: Ask): void {
+    const next = ask.links.shift();
+    if (next === undefined) return;
+    ask.link.send({
+      type: "request_ended",
+      request: ask.capacity.request,
+      ended: false,
+    });
+    ask.link = next;
+    this.#sendAsk(ask);
+  }
+
+  #cancelAsk(ask: Ask): void {
+    if (!this.#asks.has(ask.capacity.request)) return;
+    ask.link.send({
+      type: "request_ended",
+      request: ask.capacity.request,
+      ended: false,
+    });
+    ask.resolve(refuse("cancelled"));
+  }
+
+  #applyGrant(
+    effect: Extract<policy.SchedulerEffect, { readonly type: "granted" }>,
+    link: CapacityLink,
+  ): void {
+    const ask = this.#asks.get(effect.request);
+    if (ask === undefined || ask.link !== link) {
+      if (!this.#grants.has(effect.request)) {
+        link.send({
+          type: "request_ended",
+          request: effect.request,
+          ended: false,
+        });
+      }
+      return;
+    }
+    const { endpoint, queuedMs } = effect;
+    ask.resolve(
+      neverthrow.ok(
+        this.#openGrant(ask.capacity, endpoint, { link, queuedMs }),
+      ),
+    );
+  }
+
+  #applyRefusal(
+    effect: Extract<policy.SchedulerEffect, { readonly type: "refused" }>,
+  ): void {
+    const ask = this.#asks.get(effect.request);
+    if (ask === undefined) return;
+    if (isWorthAskingOthers(effect.reason) && ask.links.length > 0) {
+      return this.#askNext(ask);
+    }
+    ask.resolve(
+      neverthrow.err({
+        reason: effect.reason,
+        retryAfterMs: effect.retryAfterMs,
+      }),
+    );
+  }
+
+  #applyEviction(
+    effect: Extract<policy.SchedulerEffect, { readonly type: "evicted" }>,
+  ): void {
+    const grant = this.#grants.get(effect.request);
+    if (grant === undefined) return;
+    this.#grants.delete(effect.request);
+    grant.evict.abort();
+  }
+
+  #openGrant(
+    capacity: policy.CapacityRequest,
+    endpoint: core.EndpointId,
+    options: { readonly link: CapacityLink; readonly queuedMs: number },
+  ): CapacityGrant {
+    const open: OpenGrant = {
+      capacity,
+      endpoint,
+      evict: new AbortController(),
+      link: options.link,
+      unreportedTokens: 0,
+      emittedTokens: 0,
+    };
+    this.#grants.set(capacity.request, open);
+    return {
+      endpoint,
+      queuedMs: options.queuedMs,
+      evicted: open.evict.signal,
+      recordTokens: (count) => {
+        open.unreportedTokens += count;
+        open.emittedTokens += count;
+      },
+      end: (ended) => this.#endGrant(open, ended),
+    };
+  }
+
+  #endGrant(open: OpenGrant, ended: boolean): void {
+    const request = open.capacity.request;
+    if (this.#grants.get(request) !== open) return;
+    this.#grants.delete(request);
+    if (open.unreportedTokens > 0) {
+      open.link.send({
+        type: "tokens_generated",
+        request,
+        tokens: open.unreportedTokens,
+      });
+    }
+    open.link.send({ type: "request_ended", request, ended });
+  }
+}
+
+/** A link to nobody, for streams whose engine has no known owner. */
+const CLOSED_LINK: CapacityLink = { isOpen: () => false, send() {} };
+
+/** Sends the reports of `client` at intervals. */
+export function registerCapacityReports(
+  runtime: core.Runtime,
+  client: CapacityClient,
+): core.Disposer {
+  return runtime.registerInterval(
+    () => client.sendReports(),
+    REPORT_INTERVAL_MS,
+  );
+}
+
+function isWorthAskingOthers(reason: policy.RefusalReason): boolean {
+  return reason === "queue_too_long" || reason === "no_endpoint" ||
+    reason === "draining";
+}
+
+function refuse(
+  reason: CapacityRefusal["reason"],
+): neverthrow.Result<CapacityGrant, CapacityRefusal> {
+  return neverthrow.err({ reason, retryAfterMs: 1_000 });
+}
--- /dev/null
+++ b/packages/entry/src/idempotency.ts
@@ -0,0 +1,265 @@
+/**
+ * Runs a call at most once per idempotency key, at whichever entry process it
+ * arrives: the key is claimed in the key-value service before the call goes
+ * out. Nobody ever takes over a claim, so that a paused holder cannot double.
+ */
+
+import * as crypto from "node:crypto";
+import * as callers from "@peridotvale/callers";
+import * as core from "@peridotvale/core";
+import type * as policy from "@peridotvale/policy";
+import * as neverthrow from "neverthrow";
+import type * as claims from "./claim_store.ts";
+import type * as decisions from "./decision_log.ts";
+
+type CallResult = neverthrow.Result<
+  callers.ServiceReply,
+  callers.RequestProblem
+>;
+
+/** Value of a claim's key. */
+type ClaimRecord =
+  | {
+    readonly state: "claimed";
+    readonly holder: string;
+    readonly fingerprint: string;
+  }
+  | {
+    readonly state: "answered";
+    readonly holder: string;
+    readonly fingerprint: string;
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+    /** In base64; `undefined` if it is too large to keep. */
+    readonly body: string | undefined;
+  }
+  | {
+    readonly state: "unknown";
+    readonly holder: string;
+    readonly fingerprint: string;
+  };
+
+/** What a keyed call needs of its process. */
+export interface IdempotencyContext {
+  readonly runtime: core.Runtime;
+  readonly store: claims.ClaimStore;
+  readonly decisions: decisions.DecisionLog;
+  readonly process: core.ProcessId;
+  readonly createNonce: () => string;
+}
+
+/** A call with its key. */
+export interface KeyedCall {
+  readonly ask: callers.ServiceAsk;
+  readonly key: string;
+  readonly deadlineAt: number;
+}
+
+const KEY_PREFIX = "peridotvale/claims/";
+/** Longest wait for the store before a call is refused. */
+const CLAIM_TIMEOUT_MS = 3_000;
+/** Wait for the recording of an answer before the caller gets it all the same. */
+const RECORD_WAIT_MS = 500;
+/** Time in which recording an answer is tried. */
+const RECORD_TIMEOUT_MS = 120_000;
+/** Wait for another process's answer to the same key. */
+const OTHER_WAIT_MS = 3_000;
+const OTHER_POLL_MS = 200;
+/** Largest answer that is kept. */
+const MAX_KEPT_BYTES = 64 * 1024;
+const RETRY_AFTER_MS = 1_000;
+
+/** Runs `run` unless the key was used before; a repeat gets the recorded answer. */
+export async function runIdempotent(
+  context: IdempotencyContext,
+  call: KeyedCall,
+  options: { readonly run: () => Promise<CallResult> },
+): Promise<CallResult> {
+  const claim = createClaim(context, call);
+  const giveUpAt = Math.min(
+    call.deadlineAt,
+    context.runtime.clock.now() + CLAIM_TIMEOUT_MS,
+  );
+  const claimed = await context.store.change(claim.key, {
+    expected: undefined,
+    value: claim.value,
+    giveUpAt,
+  });
+  const now = context.runtime.clock.now();
+  decide(context, call, "claim_answered", { result: claimed.type });
+  if (claimed.type === "conflict") {
+    return await answerRepeat(context, call, claim);
+  }
+  if (claimed.type !== "applied") {
+    void releaseClaim(context, claim);
+    return refuse(
+      "claim_unavailable",
+      "the idempotency key could not be claimed",
+    );
+  }
+  if (now >= call.deadlineAt) {
+    void releaseClaim(context, claim);
+    return refuse(
+      "deadline_exceeded",
+      "the deadline passed before the call could be made",
+    );
+  }
+  const result = await options.run();
+  if (result.isErr() && result.error.outcome === "not_run") {
+    await core.waitAtMost(releaseClaim(context, claim), RECORD_WAIT_MS);
+    return result;
+  }
+  await core.waitAtMost(recordResult(context, claim, result), RECORD_WAIT_MS);
+  return result;
+}
+
+interface Claim {
+  readonly key: string;
+  readonly value: string;
+  readonly holder: string;
+  readonly fingerprint: string;
+}
+
+function createClaim(context: IdempotencyContext, call: KeyedCall): Claim {
+  const { workspace, service, method, path, query, body } = call.ask;
+  const digest = computeDigest([call.key]);
+  const fingerprint = computeDigest([method, path + query, body ?? ""]);
+  const holder = `${context.process}~${context.createNonce()}`;
+  const record: ClaimRecord = { state: "claimed", holder, fingerprint };
+  const key = `${KEY_PREFIX}${workspace}/${service}/${digest}`;
+  return { key, value: JSON.stringify(record), holder, fingerprint };
+}
+
+async function answerRepeat(
+  context: IdempotencyContext,
+  call: KeyedCall,
+  claim: Claim,
+): Promise<CallResult> {
+  const start = context.runtime.clock.now();
+  const waitUntil = Math.min(call.deadlineAt, start + OTHER_WAIT_MS);
+  while (true) {
+    const stored = await context.store.read(claim.key);
+    const record = decodeRecord(stored?.value);
+    if (record !== undefined && record.fingerprint !== claim.fingerprint) {
+      return neverthrow.err(
+        callers.createRefusal(422, "idempotency_key_reused", {
+          detail: "the idempotency key was used with another request",
+        }),
+      );
+    }
+    if (record?.state === "answered") return replayAnswer(record);
+    if (record?.state === "unknown") {
+      return createUnknown("the first attempt's outcome is unknown");
+    }
+    if (stored !== undefined && stored.value === undefined) {
+      return refuse(
+        "claim_released",
+        "the first attempt was not run; try again",
+      );
+    }
+    if (context.runtime.clock.now() >= waitUntil) {
+      return createUnknown(
+        "an earlier request with this key has no recorded answer",
+        409,
+      );
+    }
+    await core.waitFor(OTHER_POLL_MS);
+  }
+}
+
+function replayAnswer(
+  record: Extract<ClaimRecord, { readonly state: "answered" }>,
+): CallResult {
+  if (record.body === undefined) {
+    return neverthrow.err({
+      status: 409,
+      code: "answer_not_kept",
+      outcome: "failed",
+      detail:
+        `the call ran once with status ${record.status}; its answer was too large to keep`,
+    });
+  }
+  return neverthrow.ok({
+    status: record.status,
+    headers: { ...record.headers, "idempotent-replayed": "true" },
+    body: Buffer.from(record.body, "base64"),
+  });
+}
+
+async function recordResult(
+  context: IdempotencyContext,
+  claim: Claim,
+  result: CallResult,
+): Promise<policy.ChangeResult> {
+  const { holder, fingerprint } = claim;
+  const record: ClaimRecord = result.isErr()
+    ? { state: "unknown", holder, fingerprint }
+    : createAnswered(claim, result.value);
+  return await context.store.change(claim.key, {
+    expected: claim.value,
+    value: JSON.stringify(record),
+    giveUpAt: context.runtime.clock.now() + RECORD_TIMEOUT_MS,
+  });
+}
+
+function createAnswered(
+  claim: Claim,
+  reply: callers.ServiceReply,
+): ClaimRecord {
+  const isKept = reply.body.length <= MAX_KEPT_BYTES;
+  return {
+    state: "answered",
+    holder: claim.holder,
+    fingerprint: claim.fingerprint,
+    status: reply.status,
+    headers: reply.headers,
+    body: isKept ? Buffer.from(reply.body).toString("base64") : undefined,
+  };
+}
+
+/** Only a call that was never sent may release its claim. */
+async function releaseClaim(
+  context: IdempotencyContext,
+  claim: Claim,
+): Promise<policy.ChangeResult> {
+  return await context.store.change(claim.key, {
+    expected: claim.value,
+    value: undefined,
+    giveUpAt: context.runtime.clock.now() + RECORD_TIMEOUT_MS,
+  });
+}
+
+function decodeRecord(value: string | undefined): ClaimRecord | undefined {
+  return value === undefined ? undefined : JSON.parse(value) as ClaimRecord;
+}
+
+function refuse(code: string, detail: string): CallResult {
+  return neverthrow.err(
+    callers.createRefusal(503, code, { detail, retryAfterMs: RETRY_AFTER_MS }),
+  );
+}
+
+function createUnknown(detail: string, status = 502): CallResult {
+  return neverthrow.err({
+    status,
+    code: "first_attempt_unknown",
+    outcome: "unknown",
+    detail,
+    retryAfterMs: status === 409 ? RETRY_AFTER_MS : undefined,
+  });
+}
+
+function computeDigest(parts: readonly (string | Uint8Array)[]): string {
+  const hash = crypto.createHash("sha256");
+  for (const part of parts) hash.update(part).update("\0");
+  return hash.digest("base64url");
+}
+
+function decide(
+  context: IdempotencyContext,
+  call: KeyedCall,
+  event: string,
+  fields: core.LogFields,
+): void {
+  context.decisions.recordDecision(call.ask.request, event, fields);
+}
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,85 @@
+/** Command line of `peridotvale`, the entry process. */
+
+import * as fs from "node:fs";
+import * as core from "@peridotvale/core";
+import sade from "sade";
+import * as entry from "./entry_process.ts";
+import * as settingsModule from "./settings.ts";
+
+interface MainOptions {
+  readonly settings?: string;
+  readonly check?: boolean;
+}
+
+/** Exit codes of `peridotvale`. */
+export const EXIT_CODES = { ok: 0, invalid: 1, failed: 2 } as const;
+
+/** Runs the command line until the process has drained. */
+export async function runMain(argv: readonly string[]): Promise<void> {
+  const program = sade("peridotvale", true);
+  program
+    .version("0.1.0")
+    .describe("Entry process: serves callers' requests from endpoints")
+    .option("-s, --settings", "Settings file (YAML)")
+    .option("--check", "Only check the settings")
+    .action((options: MainOptions) => start(options));
+  const parsed = program.parse([...argv], { lazy: true });
+  if (parsed === undefined) return;
+  process.exitCode =
+    await (parsed.handler(...parsed.args) as unknown as Promise<number>);
+}
+
+async function start(options: MainOptions): Promise<number> {
+  const settings = readSettings(options.settings);
+  if (settings === undefined) return EXIT_CODES.invalid;
+  if (options.check) {
+    process.stdout.write("settings are valid\n");
+    return EXIT_CODES.ok;
+  }
+  const logger = core.createLogger((line) => process.stdout.write(line), {
+    process: settings.process,
+    zone: settings.zone,
+  });
+  try {
+    const running = await entry.startEntryProcess(settings, {
+      logger,
+      clock: new core.SystemClock(),
+    });
+    await waitForStop();
+    await running.drain();
+    return EXIT_CODES.ok;
+  } catch (error) {
+    logger.write("process_failed", { error: (error as Error).message });
+    return EXIT_CODES.failed;
+  }
+}
+
+function readSettings(
+  file: string | undefined,
+): settingsModule.Settings | undefined {
+  if (file === undefined) {
+    process.stderr.write("--settings FILE is required\n");
+    return undefined;
+  }
+  let text: string;
+  try {
+    text = fs.readFileSync(file, "utf8");
+  } catch (error) {
+    process.stderr.write(`cannot read ${file}: ${(error as Error).message}\n`);
+    return undefined;
+  }
+  const parsed = settingsModule.parseSettings(text, { source: file });
+  if (parsed.isOk()) return parsed.value;
+  for (const problem of parsed.error) {
+    process.stderr.write(`${core.formatProblem(problem)}\n`);
+  }
+  return undefined;
+}
+
+/** Further signals while draining change nothing. */
+function waitForStop(): Promise<void> {
+  return new Promise((resolve) => {
+    process.on("SIGTERM", () => resolve());
+    process.on("SIGINT", () => resolve());
+  });
+}
--- /dev/null
+++ b/packages/entry/src/operator_views.ts
@@ -0,0 +1,107 @@
+/** What operators are shown of this process. */
+
+import * as core from "@peridotvale/core";
+import type * as operators from "@peridotvale/operators";
+import type * as decisionLogs from "./decision_log.ts";
+import type * as directories from "./endpoint_directory.ts";
+import type * as fronts from "./front.ts";
+import type * as manifests from "./manifest_agent.ts";
+
+/** What the views are made of. */
+export interface OperatorViewsOptions {
+  readonly runtime: core.Runtime;
+  readonly process: core.ProcessId;
+  readonly zone: core.ZoneName;
+  readonly directory: directories.EndpointDirectory;
+  readonly manifests: manifests.ManifestAgent;
+  readonly decisions: decisionLogs.DecisionLog;
+  readonly front: fronts.Front;
+}
+
+/** {@linkcode operators.OperatorHandler} of an entry process. */
+export class OperatorViews implements operators.OperatorHandler {
+  readonly #options: OperatorViewsOptions;
+
+  constructor(options: OperatorViewsOptions) {
+    this.#options = options;
+  }
+
+  getStatus(): operators.StatusView {
+    const { runtime, process, zone, manifests } = this.#options;
+    const now = runtime.clock.now();
+    const { reachable, silentMs } = manifests.getPlatformState(now);
+    return {
+      process,
+      zone,
+      platformReachable: reachable,
+      platformSilentMs: Number.isFinite(silentMs)
+        ? Math.round(silentMs)
+        : undefined,
+      processes: [this.#createOwnView(now)],
+      endpoints: this.#createEndpointViews(now),
+    };
+  }
+
+  getManifest(): operators.ManifestView | undefined {
+    return this.#options.manifests.record;
+  }
+
+  async submit(
+    text: string,
+    options: { readonly base: number; readonly submission: string },
+  ): Promise<operators.SubmitView> {
+    const { runtime, manifests } = this.#options;
+    const result = await manifests.submit(text, options);
+    const type = result.isOk() ? "accepted" : result.error.type;
+    runtime.logger.write("manifest_submitted", { ...options, result: type });
+    if (result.isOk()) {
+      const { release, submission } = result.value;
+      return { type: "accepted", release, submission };
+    }
+    if (result.error.type !== "conflict") return result.error;
+    const { current } = result.error;
+    return {
+      type: "conflict",
+      inForce: current?.release ?? 0,
+      submission: current?.submission,
+    };
+  }
+
+  explain(request: core.RequestId): Promise<readonly operators.DecisionView[]> {
+    const { process, decisions } = this.#options;
+    const views = decisions.getDecisions(request).map((decision) => ({
+      process,
+      ...decision,
+    }));
+    return Promise.resolve(views);
+  }
+
+  #createOwnView(now: number): operators.ProcessView {
+    const { process, zone, manifests, front } = this.#options;
+    return {
+      process,
+      zone,
+      state: front.isReady() ? "alive" : "draining",
+      release: manifests.record?.release ?? 0,
+      inForceMs: manifests.record === undefined
+        ? undefined
+        : now - manifests.appliedAt,
+      openRequests: front.openCount,
+    };
+  }
+
+  #createEndpointViews(now: number): operators.EndpointView[] {
+    const { table } = this.#options.directory;
+    const listed = [
+      ...table.getEndpoints("engine"),
+      ...table.getEndpoints("service"),
+    ];
+    return listed.map((entry) => ({
+      endpoint: entry.endpoint,
+      zone: entry.zone,
+      role: entry.service ?? entry.role,
+      accepting: table.isAccepting(entry.endpoint, now),
+      owner: undefined,
+    }));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/settings.ts
@@ -0,0 +1,122 @@
+/** Settings of an entry process: a YAML file, checked strictly. Times are in milliseconds. */
+
+import * as core from "@peridotvale/core";
+import * as neverthrow from "neverthrow";
+import * as valibot from "valibot";
+
+const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+const DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
+const DEFAULT_MAX_PROMPT_TOKENS = 200_000;
+const DEFAULT_MAX_OPEN_REQUESTS = 2_000;
+const DEFAULT_MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+const MIN_SECRET_LENGTH = 16;
+
+const textSchema = valibot.pipe(
+  valibot.string("must be a string"),
+  valibot.nonEmpty("must not be empty"),
+);
+const portSchema = createCountSchema(0, 65_535);
+const listenSchema = valibot.strictObject({
+  host: textSchema,
+  port: portSchema,
+});
+const limitSchema = createCountSchema(1, 2 ** 31);
+const durationSchema = createCountSchema(1, 3_600_000);
+
+const settingsSchema = valibot.strictObject({
+  /** Identity; stable over restarts at the same address. */
+  process: textSchema,
+  zone: textSchema,
+  /** Cores of the VM that this process may use, as its weight among processes. */
+  cores: valibot.optional(createCountSchema(1, 1024), 1),
+  callers: listenSchema,
+  operators: listenSchema,
+  peers: listenSchema,
+  platform: valibot.strictObject({
+    url: valibot.pipe(textSchema, valibot.url("must be a URL")),
+    timeout_ms: valibot.optional(durationSchema, 1_000),
+  }),
+  /** Secret of the cursors; the same for all entry processes. */
+  cursor_secret: valibot.pipe(
+    textSchema,
+    valibot.minLength(
+      MIN_SECRET_LENGTH,
+      `must have at least ${MIN_SECRET_LENGTH} characters`,
+    ),
+  ),
+  limits: valibot.optional(
+    valibot.strictObject({
+      max_body_bytes: valibot.optional(limitSchema, DEFAULT_MAX_BODY_BYTES),
+      max_header_bytes: valibot.optional(limitSchema, DEFAULT_MAX_HEADER_BYTES),
+      max_prompt_tokens: valibot.optional(
+        limitSchema,
+        DEFAULT_MAX_PROMPT_TOKENS,
+      ),
+      max_open_requests: valibot.optional(
+        limitSchema,
+        DEFAULT_MAX_OPEN_REQUESTS,
+      ),
+      max_answer_bytes: valibot.optional(limitSchema, DEFAULT_MAX_ANSWER_BYTES),
+    }),
+    {},
+  ),
+  timeouts: valibot.optional(
+    valibot.strictObject({
+      connect_ms: valibot.optional(durationSchema, 500),
+      /** Wait for an engine's answer to begin. */
+      engine_answer_ms: valibot.optional(durationSchema, 5_000),
+      /** Silence after which a stream's connection is replaced. */
+      engine_silence_ms: valibot.optional(durationSchema, 2_000),
+      caller_stall_ms: valibot.optional(durationSchema, 30_000),
+      /** Bound on finishing open requests after SIGTERM. */
+      drain_ms: valibot.optional(durationSchema, 600_000),
+    }),
+    {},
+  ),
+});
+
+/** Checked settings, with the keys of the file. */
+export type Settings = Readonly<valibot.InferOutput<typeof settingsSchema>>;
+
+/** Parses and checks settings; reports every problem with its path and line. */
+export function parseSettings(
+  text: string,
+  options: { readonly source: string },
+): neverthrow.Result<Settings, core.DocumentProblem[]> {
+  const parsed = core.parseDocument(settingsSchema, text, options);
+  if (parsed.isErr()) return neverthrow.err(parsed.error);
+  return neverthrow.ok(parsed.value.value);
+}
+
+/** Limits with the defaults filled in. */
+export function getLimits(settings: Settings) {
+  const limits = settings.limits;
+  return {
+    maxBodyBytes: limits.max_body_bytes ?? DEFAULT_MAX_BODY_BYTES,
+    maxHeaderBytes: limits.max_header_bytes ?? DEFAULT_MAX_HEADER_BYTES,
+    maxPromptTokens: limits.max_prompt_tokens ?? DEFAULT_MAX_PROMPT_TOKENS,
+    maxOpenRequests: limits.max_open_requests ?? DEFAULT_MAX_OPEN_REQUESTS,
+    maxAnswerBytes: limits.max_answer_bytes ?? DEFAULT_MAX_ANSWER_BYTES,
+  };
+}
+
+/** Timeouts with the defaults filled in. */
+export function getTimeouts(settings: Settings) {
+  const timeouts = settings.timeouts;
+  return {
+    connectMs: timeouts.connect_ms ?? 500,
+    engineAnswerMs: timeouts.engine_answer_ms ?? 5_000,
+    engineSilenceMs: timeouts.engine_silence_ms ?? 2_000,
+    callerStallMs: timeouts.caller_stall_ms ?? 30_000,
+    drainMs: timeouts.drain_ms ?? 600_000,
+  };
+}
+
+function createCountSchema(min: number, max: number) {
+  return valibot.pipe(
+    valibot.number("must be a number"),
+    valibot.integer("must be a whole number"),
+    valibot.minValue(min, `must be at least ${min}`),
+    valibot.maxValue(max, `must be at most ${max}`),
+  );
+}
--- /dev/null
+++ b/packages/operators/src/peridotctl.ts
@@ -0,0 +1,291 @@
+/** The operators' command: validates and submits manifests, and reads what is in force. */
+
+import * as crypto from "node:crypto";
+import * as fs from "node:fs";
+import * as core from "@peridotvale/core";
+import sade from "sade";
+import * as client from "./operator_client.ts";
+import type * as handler from "./operator_handler.ts";
+import * as tables from "./table.ts";
+
+/** Exit codes of `peridotctl`. */
+export const EXIT_CODES = {
+  ok: 0,
+  /** The manifest or the arguments are wrong; nothing was changed. */
+  invalid: 1,
+  /** Another release was accepted first; nothing was changed. */
+  conflict: 2,
+  /** Nobody could be reached; nothing was changed. */
+  unreachable: 3,
+  /** The submission may have taken effect. */
+  unknown: 4,
+  /** What was asked for is not known. */
+  notFound: 5,
+} as const;
+
+interface CommonOptions {
+  readonly entry: string;
+  readonly json?: boolean;
+}
+
+interface SubmitOptions extends CommonOptions {
+  readonly base?: number;
+  readonly submission?: string;
+}
+
+const DEFAULT_ENTRY = "http://127.0.0.1:7070";
+
+/** Runs the command line; sets the process's exit code. */
+export async function runMain(argv: readonly string[]): Promise<void> {
+  const program = sade("peridotctl");
+  program
+    .version("0.1.0")
+    .option("-e, --entry", "Operators' URL of an entry process", DEFAULT_ENTRY)
+    .option("--json", "Print JSON");
+  program
+    .command("validate <file>", "Check a manifest without submitting it")
+    .action((file: string, options: CommonOptions) => validate(file, options));
+  program
+    .command("submit <file>", "Submit a manifest")
+    .option(
+      "--base",
+      "Release that it succeeds (default: its own release less 1)",
+    )
+    .option(
+      "--submission",
+      "Id of the submission, to ask again after an unknown answer",
+    )
+    .action((file: string, options: SubmitOptions) => submit(file, options));
+  program
+    .command("show", "Print the manifest in force")
+    .action((options: CommonOptions) => show(options));
+  program
+    .command("status", "Print releases, owners and what cannot be reached")
+    .action((options: CommonOptions) => showStatus(options));
+  program
+    .command("explain <request>", "Print the decisions about a recent request")
+    .action((request: string, options: CommonOptions) =>
+      explain(request, options)
+    );
+  const parsed = program.parse([...argv], { lazy: true });
+  if (parsed === undefined) return;
+  process.exitCode =
+    await (parsed.handler(...parsed.args) as unknown as Promise<number>);
+}
+
+function validate(file: string, options: CommonOptions): number {
+  const text = readFile(file);
+  if (text === undefined) return EXIT_CODES.invalid;
+  const parsed = core.parseManifest(text, { source: file });
+  if (parsed.isErr()) return writeProblems(parsed.error, options);
+  writeResult(
+    options,
+    { valid: true, release: parsed.value.release },
+    () => `${file}: release ${parsed.value.release} is valid`,
+  );
+  return EXIT_CODES.ok;
+}
+
+async function submit(file: string, options: SubmitOptions): Promise<number> {
+  const text = readFile(file);
+  if (text === undefined) return EXIT_CODES.invalid;
+  const parsed = core.parseManifest(text, { source: file });
+  if (parsed.isErr()) return writeProblems(parsed.error, options);
+  const base = options.base ?? parsed.value.release - 1;
+  const submission = options.submission ?? crypto.randomUUID();
+  const result = await new client.OperatorClient(options.entry).submit(text, {
+    base,
+    submission,
+  });
+  if (result.isErr()) {
+    if (!result.error.sent) return writeUnreachable(options, result.error);
+    return writeUnknown(options, submission, result.error.message);
+  }
+  return writeSubmitView(result.value, options, submission);
+}
+
+function writeSubmitView(
+  view: handler.SubmitView,
+  options: SubmitOptions,
+  submission: string,
+): number {
+  switch (view.type) {
+    case "accepted":
+      writeResult(options, view, () => `release ${view.release} accepted`);
+      return EXIT_CODES.ok;
+    case "invalid":
+      return writeProblems(view.problems, options);
+    case "conflict":
+      writeError(options, view, [
+        `conflict: release ${view.inForce} (submission ${
+          view.submission ?? "none"
+        }) is in force`,
+        "nothing was changed; rebase on it: peridotctl show",
+      ]);
+      return EXIT_CODES.conflict;
+    case "not_accepted":
+      writeError(options, view, [
+        `not accepted: ${view.message}`,
+        "nothing was changed; try again",
+      ]);
+      return EXIT_CODES.unreachable;
+    case "unknown":
+      return writeUnknown(options, submission, view.message);
+  }
+}
+
+async function show(options: CommonOptions): Promise<number> {
+  const result = await new client.OperatorClient(options.entry).readManifest();
+  if (result.isErr()) return writeUnreachable(options, result.error);
+  const manifest = result.value;
+  if (manifest === undefined) {
+    writeError(options, { type: "none" }, [
+      "no manifest is in force: peridotctl submit FILE",
+    ]);
+    return EXIT_CODES.notFound;
+  }
+  writeResult(options, manifest, () => manifest.text.trimEnd());
+  return EXIT_CODES.ok;
+}
+
+async function showStatus(options: CommonOptions): Promise<number> {
+  const result = await new client.OperatorClient(options.entry).readStatus();
+  if (result.isErr()) return writeUnreachable(options, result.error);
+  writeResult(options, result.value, () => formatStatus(result.value));
+  return EXIT_CODES.ok;
+}
+
+async function explain(
+  request: string,
+  options: CommonOptions,
+): Promise<number> {
+  const result = await new client.OperatorClient(options.entry).explain(
+    request,
+  );
+  if (result.isErr()) return writeUnreachable(options, result.error);
+  if (result.value.length === 0) {
+    writeError(options, { type: "not_found", request }, [
+      `no decisions about ${request} are kept`,
+      "only recent requests are; the logs hold older ones",
+    ]);
+    return EXIT_CODES.notFound;
+  }
+  writeResult(options, result.value, () => formatDecisions(result.value));
+  return EXIT_CODES.ok;
+}
+
+function formatStatus(status: handler.StatusView): string {
+  const silent = status.platformSilentMs === undefined
+    ? "never answered"
+    : `last answered ${formatAge(status.platformSilentMs)} ago`;
+  const platform = status.platformReachable
+    ? "reachable"
+    : `UNREACHABLE, ${silent}`;
+  const processes = status.processes.map((entry) => [
+    entry.zone,
+    entry.process,
+    entry.state,
+    String(entry.release),
+    entry.inForceMs === undefined ? "-" : formatAge(entry.inForceMs),
+    entry.openRequests === undefined ? "-" : String(entry.openRequests),
+  ]);
+  const endpoints = status.endpoints.map((entry) => [
+    entry.zone,
+    entry.endpoint,
+    entry.role,
+    entry.accepting ? "accepting" : "NOT ACCEPTING",
+    entry.owner ?? "-",
+  ]);
+  return [
+    `seen from ${status.process} in ${status.zone}; platform ${platform}`,
+    "",
+    tables.formatTable(
+      ["ZONE", "PROCESS", "STATE", "RELEASE", "SINCE", "OPEN"],
+      processes,
+    ),
+    "",
+    tables.formatTable(
+      ["ZONE", "ENDPOINT", "ROLE", "STATE", "OWNER"],
+      endpoints,
+    ),
+  ].join("\n");
+}
+
+function formatDecisions(decisions: readonly handler.DecisionView[]): string {
+  const rows = decisions.map((decision) => [
+    new Date(decision.at).toISOString(),
+    decision.process,
+    core.formatLine(decision.event, decision.fields).slice("event=".length),
+  ]);
+  return tables.formatTable(["TIME", "PROCESS", "DECISION"], rows);
+}
+
+function formatAge(durationMs: number): string {
+  if (durationMs < 1_000) return `${Math.round(durationMs)}ms`;
+  if (durationMs < 120_000) return `${Math.round(durationMs / 1_000)}s`;
+  return `${Math.round(durationMs / 60_000)}min`;
+}
+
+function readFile(file: string): string | undefined {
+  try {
+    return fs.readFileSync(file, "utf8");
+  } catch (error) {
+    process.stderr.write(`cannot read ${file}: ${(error as Error).message}\n`);
+    return undefined;
+  }
+}
+
+function writeProblems(
+  problems: readonly core.DocumentProblem[],
+  options: CommonOptions,
+): number {
+  const lines = problems.map(core.formatProblem);
+  writeError(options, { type: "invalid", problems }, [
+    ...lines,
+    "nothing was changed",
+  ]);
+  return EXIT_CODES.invalid;
+}
+
+function writeUnreachable(
+  options: CommonOptions,
+  error: client.OperatorError,
+): number {
+  writeError(options, { type: "unreachable", message: error.message }, [
+    `cannot reach ${options.entry}: ${error.message}`,
+    "nothing was changed; name another entry process with --entry",
+  ]);
+  return EXIT_CODES.unreachable;
+}
+
+function writeUnknown(
+  options: SubmitOptions,
+  submission: string,
+  message: string,
+): number {
+  writeError(options, { type: "unknown", submission, message }, [
+    `unknown: ${message}`,
+    "the submission may have taken effect; ask again, which submits it at most once:",
+    `  peridotctl submit FILE --submission ${submission}`,
+  ]);
+  return EXIT_CODES.unknown;
+}
+
+function writeResult(
+  options: CommonOptions,
+  value: unknown,
+  format: () => string,
+): void {
+  process.stdout.write(
+    `${options.json ? JSON.stringify(value, null, 2) : format()}\n`,
+  );
+}
+
+function writeError(
+  options: CommonOptions,
+  value: unknown,
+  lines: readonly string[],
+): void {
+  if (options.json) process.stdout.write(`${JSON.stringify(value, null, 2)}\n`);
+  process.stderr.write(`${lines.join("\n")}\n`);
+}
--- /dev/null
+++ b/packages/platform/src/mod.ts
@@ -0,0 +1,5 @@
+/** The platform: key-value service and VM list. */
+export * from "./errors.ts";
+export * from "./etcd_store.ts";
+export * from "./key_value_store.ts";
+export * from "./vm_list.ts";
--- /dev/null
+++ b/packages/policy/src/engine_state.ts
@@ -0,0 +1,160 @@
+/** What the scheduler knows of one engine: its streams, speed, memory and cached prefixes. */
+
+import type * as core from "@peridotvale/core";
+import type * as lengths from "./length_predictor.ts";
+import * as forecasts from "./memory_forecast.ts";
+import * as prefixes from "./prefix_belief.ts";
+import * as speeds from "./speed_model.ts";
+import type * as types from "./scheduler_types.ts";
+
+/** A stream that holds capacity of an engine. */
+export interface ActiveStream {
+  readonly capacity: types.CapacityRequest;
+  readonly rankOrder: number;
+  readonly grantedAt: number;
+  emittedTokens: number;
+  lastReportAt: number;
+  /** Tokens charged ahead of being generated. */
+  prepaidTokens: number;
+}
+
+/** Age beyond which a forecast is computed anew. */
+const FORECAST_MAX_AGE_MS = 200;
+/** Standard deviations of memory kept free. */
+const MEMORY_DEVIATIONS = 2;
+/** Share of memory that each preemption adds to the reserve. */
+const RESERVE_STEP = 0.02;
+const MAX_RESERVE = 0.4;
+/** Time in which a learned reserve halves. */
+const RESERVE_HALF_LIFE_MS = 60_000;
+/** Time over which own memory is remembered, to compare with lagging reports. */
+const OWN_MEMORY_WINDOW_MS = 6_000;
+/** Shortest interval that counts as a sample of speed. */
+const MIN_SAMPLE_MS = 1;
+
+interface MemorySample {
+  readonly at: number;
+  readonly tokens: number;
+}
+
+/** One engine. */
+export class EngineState {
+  readonly streams = new Map<core.RequestId, ActiveStream>();
+  readonly prefixes = new prefixes.PrefixBelief();
+  readonly speed = new speeds.SpeedModel();
+  info: types.EngineInfo;
+  #forecast = new forecasts.MemoryForecast();
+  #forecastAt = -Infinity;
+  #reserve = 0;
+  #reserveAt = 0;
+  #preemptions: number | undefined;
+  #foreignTokens = 0;
+  #ownMemory: MemorySample[] = [];
+
+  constructor(info: types.EngineInfo) {
+    this.info = info;
+  }
+
+  /** Adds a stream and counts it in the forecast at once. */
+  addStream(stream: ActiveStream, survival: lengths.Survival): void {
+    this.streams.set(stream.capacity.request, stream);
+    this.#forecast.addStream(createShape(stream, survival));
+  }
+
+  /** Takes a stream out. */
+  removeStream(request: core.RequestId): void {
+    if (this.streams.delete(request)) this.#forecastAt = -Infinity;
+  }
+
+  /** Computes the forecast anew if it is old. */
+  updateForecast(predictor: lengths.LengthPredictor, now: number): void {
+    if (now - this.#forecastAt < FORECAST_MAX_AGE_MS) return;
+    this.#forecastAt = now;
+    this.#forecast = new forecasts.MemoryForecast();
+    for (const stream of this.streams.values()) {
+      this.#forecast.addStream(
+        createShape(stream, predictor.getSurvival(stream.capacity)),
+      );
+    }
+    this.#recordOwnMemory(now);
+  }
+
+  /** Whether memory stays within its limit at a stated confidence with one more stream. */
+  isMemoryLeft(stream: forecasts.StreamShape, now: number): boolean {
+    return this.#forecast.isWithin(this.#getLimit(now), stream, {
+      deviations: MEMORY_DEVIATIONS,
+    });
+  }
+
+  /** Whether memory is predicted to fill within `maxHorizon` tokens per stream. */
+  isMemoryFilling(maxHorizon: number, now: number): boolean {
+    return !this.#forecast.isWithin(this.#getLimit(now), undefined, {
+      deviations: 1,
+      maxHorizon,
+    });
+  }
+
+  /** Whether a stream of this size would fit if it were alone. */
+  isEverPossible(tokens: number): boolean {
+    return tokens <= this.info.memoryLimitTokens;
+  }
+
+  /** Tokens held now, in own and foreign streams. */
+  getUsedTokens(): number {
+    return this.#forecast.getCurrentTokens() + this.#foreignTokens;
+  }
+
+  /** Learns from the engine's own report: a reserve from preemptions, and foreign load. */
+  recordLoad(report: types.LoadReport, now: number): void {
+    const before = this.#preemptions;
+    this.#preemptions = report.preemptions;
+    if (before !== undefined && report.preemptions > before) {
+      const step = RESERVE_STEP * Math.min(3, report.preemptions - before);
+      this.#reserve = Math.min(MAX_RESERVE, this.#getReserve(now) + step);
+      this.#reserveAt = now;
+    }
+    let own = 0;
+    for (const sample of this.#ownMemory) own = Math.max(own, sample.tokens);
+    this.#foreignTokens = Math.max(0, report.memoryUsedTokens - own);
+  }
+
+  /** Records tokens of a stream and learns the engine's speed from them. */
+  recordTokens(stream: ActiveStream, tokens: number, now: number): void {
+    const elapsedMs = now - stream.lastReportAt;
+    if (stream.emittedTokens > 0 && elapsedMs >= MIN_SAMPLE_MS) {
+      this.speed.recordSample(this.streams.size, elapsedMs / tokens);
+    }
+    stream.emittedTokens += tokens;
+    stream.lastReportAt = now;
+  }
+
+  #getLimit(now: number): number {
+    return this.info.memoryLimitTokens * (1 - this.#getReserve(now)) -
+      this.#foreignTokens;
+  }
+
+  #getReserve(now: number): number {
+    if (this.#reserve === 0) return 0;
+    return this.#reserve *
+      0.5 ** ((now - this.#reserveAt) / RESERVE_HALF_LIFE_MS);
+  }
+
+  #recordOwnMemory(now: number): void {
+    const oldest = now - OWN_MEMORY_WINDOW_MS;
+    const kept = this.#ownMemory.filter((sample) => sample.at > oldest);
+    kept.push({ at: now, tokens: this.#forecast.getCurrentTokens() });
+    this.#ownMemory = kept;
+  }
+}
+
+function createShape(
+  stream: ActiveStream,
+  survival: lengths.Survival,
+): forecasts.StreamShape {
+  return {
+    promptTokens: stream.capacity.promptTokens,
+    emittedTokens: stream.emittedTokens,
+    maxTokens: stream.capacity.maxTokens,
+    survival,
+  };
+}
--- /dev/null
+++ b/packages/policy/src/scheduler.ts
@@ -0,0 +1,555 @@
+/**
+ * Decides which request gets capacity of which engine, and when. A state
+ * machine without I/O: all input comes as events with the time.
+ */
+
+import * as core from "@peridotvale/core";
+import * as engines from "./engine_state.ts";
+import * as queues from "./fair_queue.ts";
+import * as lengths from "./length_predictor.ts";
+import * as placement from "./placement.ts";
+import * as reserves from "./rank_reserve.ts";
+import * as shares from "./rank_shares.ts";
+import type * as types from "./scheduler_types.ts";
+
+interface QueuedRequest extends queues.QueueItem {
+  readonly capacity: types.CapacityRequest;
+}
+
+interface RankQueue {
+  readonly name: core.RankName;
+  readonly order: number;
+  readonly queue: queues.FairQueue<QueuedRequest>;
+  readonly grants: reserves.DecayingRate;
+  /** Most streams of the rank that were open lately. */
+  readonly openPeak: reserves.DecayingPeak;
+  openStreams: number;
+}
+
+interface ModelState {
+  readonly name: core.ModelName;
+  ranks: RankQueue[];
+  readonly shares: shares.RankShares;
+  /** When capacity last ran out; requests are not queued against a rate older than that. */
+  saturatedAt: number;
+}
+
+/** Options of a scheduler. */
+export interface SchedulerOptions {
+  /** Share of each engine's capacity that this scheduler may use, 0 to 1. */
+  readonly capacityShare: number;
+}
+
+const GRANT_RATE_WINDOW_MS = 10_000;
+/** Time after running out of capacity in which grant rates count as the whole capacity. */
+const SATURATION_MEMORY_MS = 2_000;
+/** Share of the rank's target between tokens that placement may use. */
+const TOKEN_TARGET_SHARE = 0.9;
+/** Horizon at which filling memory makes undelivered streams move, in tokens. */
+const EVICTION_HORIZON_TOKENS = 64;
+/** Tokens that a grant is charged ahead when nothing is known of its length. */
+const MIN_PREPAID_TOKENS = 16;
+/** Share of a prompt token's cost against a generated token. */
+const PROMPT_TOKEN_COST = 0.05;
+const MIN_RETRY_AFTER_MS = 1_000;
+const MAX_IDLE_WORKSPACES = 4_096;
+
+/** The scheduler of the engines that one process owns. */
+export class Scheduler implements types.CapacityScheduler {
+  readonly #capacityShare: number;
+  readonly #engines = new Map<core.EndpointId, engines.EngineState>();
+  readonly #models = new Map<core.ModelName, ModelState>();
+  readonly #streams = new Map<core.RequestId, engines.EngineState>();
+  readonly #queued = new Map<core.RequestId, QueuedRequest>();
+  readonly #predictor = new lengths.LengthPredictor();
+  #manifest: core.Manifest | undefined;
+  #effects: types.SchedulerEffect[] = [];
+
+  constructor(options: SchedulerOptions = { capacityShare: 1 }) {
+    this.#capacityShare = options.capacityShare;
+  }
+
+  /** Number of requests that wait. */
+  get queuedCount(): number {
+    return this.#queued.size;
+  }
+
+  /** Number of streams that hold capacity. */
+  get openCount(): number {
+    return this.#streams.size;
+  }
+
+  handle(
+    event: types.SchedulerEvent,
+    now: number,
+  ): readonly types.SchedulerEffect[] {
+    this.#effects = [];
+    this.#applyEvent(event, now);
+    return this.#effects;
+  }
+
+  #applyEvent(event: types.SchedulerEvent, now: number): void {
+    switch (event.type) {
+      case "manifest_changed":
+        return this.#applyManifest(event.manifest, now);
+      case "engine_updated":
+        return this.#updateEngine(event.engine, now);
+      case "engine_removed":
+        return this.#removeEngine(event.endpoint);
+      case "load_reported":
+        return this.#engines.get(event.report.endpoint)?.recordLoad(
+          event.report,
+          now,
+        );
+      case "request_arrived":
+        return this.#addRequest(event.capacity, now);
+      case "stream_adopted":
+        return this.#adoptStream(event.stream, now);
+      case "tokens_generated":
+        return this.#recordTokens(event.request, event.tokens, now);
+      case "request_ended":
+        return this.#endRequest(event.request, event.ended, now);
+      case "ticked":
+        return this.#runTick(now);
+    }
+  }
+
+  #applyManifest(manifest: core.Manifest, now: number): void {
+    this.#manifest = manifest;
+    for (const model of this.#models.values()) {
+      this.#updateRanks(model, manifest, now);
+    }
+    this.#grantAll(now);
+  }
+
+  #updateRanks(model: ModelState, manifest: core.Manifest, now: number): void {
+    const kept = new Map(model.ranks.map((rank) => [rank.name, rank]));
+    model.ranks = [];
+    for (const [name, spec] of manifest.ranks) {
+      const old = kept.get(name);
+      kept.delete(name);
+      if (old?.order === spec.order) model.ranks.push(old);
+      else model.ranks.push(createRankQueue(name, spec.order, old));
+    }
+    model.ranks.sort((a, b) => a.order - b.order);
+    for (const removed of kept.values()) {
+      for (const item of removed.queue.removeExpired(Infinity)) {
+        this.#refuse(item.capacity, "unknown_rank", now);
+      }
+    }
+  }
+
+  #updateEngine(info: types.EngineInfo, now: number): void {
+    const scaled = {
+      ...info,
+      memoryLimitTokens: info.memoryLimitTokens * this.#capacityShare,
+      maxBatch: Math.max(1, Math.floor(info.maxBatch * this.#capacityShare)),
+    };
+    const known = this.#engines.get(info.endpoint);
+    if (known === undefined) {
+      this.#engines.set(info.endpoint, new engines.EngineState(scaled));
+    } else known.info = scaled;
+    this.#grantAll(now);
+  }
+
+  /** Streams of the engine stay known to their fronts, which end or move them. */
+  #removeEngine(endpoint: core.EndpointId): void {
+    const engine = this.#engines.get(endpoint);
+    if (engine === undefined) return;
+    this.#engines.delete(endpoint);
+    for (const stream of engine.streams.values()) {
+      this.#streams.delete(stream.capacity.request);
+      this.#recordClosed(stream);
+    }
+  }
+
+  #addRequest(capacity: types.CapacityRequest, now: number): void {
+    const refusal = this.#getRefusal(capacity);
+    if (refusal !== undefined) return this.#refuse(capacity, refusal, now);
+    const model = this.#getModel(capacity.model);
+    const rank = getRank(model, capacity.rank);
+    const item = {
+      workspace: capacity.workspace,
+      startBy: capacity.startBy,
+      arrivedAt: now,
+      capacity,
+    };
+    this.#queue(rank, item);
+    this.#grantModel(model, now);
+    if (!this.#queued.has(capacity.request)) return;
+    const waitMs = this.#predictWaitMs(model, rank, capacity.workspace, now);
+    if (now + waitMs <= capacity.startBy) return;
+    this.#unqueue(rank, item);
+    this.#refuse(capacity, "queue_too_long", now, waitMs);
+  }
+
+  #getRefusal(
+    capacity: types.CapacityRequest,
+  ): types.RefusalReason | undefined {
+    if (this.#manifest === undefined) return "no_endpoint";
+    if (!this.#manifest.workspaces.has(capacity.workspace)) {
+      return "unknown_workspace";
+    }
+    if (!this.#manifest.ranks.has(capacity.rank)) return "unknown_rank";
+    if (!this.#manifest.models.has(capacity.model)) return "unknown_model";
+    let serving = 0;
+    for (const engine of this.#engines.values()) {
+      if (!isServing(engine, capacity)) continue;
+      serving += 1;
+      if (engine.isEverPossible(capacity.promptTokens + 1)) return undefined;
+    }
+    return serving === 0 ? "no_endpoint" : "too_large";
+  }
+
+  #adoptStream(adopted: types.AdoptedStream, now: number): void {
+    const engine = this.#engines.get(adopted.endpoint);
+    const request = adopted.capacity.request;
+    if (engine === undefined || this.#streams.has(request)) return;
+    this.#openStream(engine, adopted.capacity, now);
+    engine.streams.get(request)!.emittedTokens = adopted.emittedTokens;
+  }
+
+  #recordTokens(request: core.RequestId, tokens: number, now: number): void {
+    const engine = this.#streams.get(request);
+    if (engine === undefined || tokens <= 0) return;
+    const stream = engine.streams.get(request)!;
+    const before = stream.emittedTokens;
+    engine.recordTokens(stream, tokens, now);
+    this.#predictor.recordProgress(stream.capacity, before, {
+      to: stream.emittedTokens,
+    });
+    const prepaid = Math.min(stream.prepaidTokens, tokens);
+    stream.prepaidTokens -= prepaid;
+    this.#chargeTokens(stream.capacity, tokens - prepaid);
+  }
+
+  #endRequest(request: core.RequestId, ended: boolean, now: number): void {
+    const queued = this.#queued.get(request);
+    if (queued !== undefined) {
+      const model = this.#getModel(queued.capacity.model);
+      this.#unqueue(getRank(model, queued.capacity.rank), queued);
+      return;
+    }
+    const engine = this.#streams.get(request);
+    if (engine === undefined) return;
+    const stream = engine.streams.get(request)!;
+    if (ended && stream.emittedTokens < stream.capacity.maxTokens) {
+      this.#predictor.recordEnd(stream.capacity, stream.emittedTokens);
+    }
+    this.#closeStream(engine, stream);
+    this.#grantModel(this.#getModel(stream.capacity.model), now);
+  }
+
+  #runTick(now: number): void {
+    for (const model of this.#models.values()) {
+      for (const rank of model.ranks) {
+        for (const item of rank.queue.removeExpired(now)) {
+          this.#queued.delete(item.capacity.request);
+          this.#refuse(item.capacity, "deadline_exceeded", now);
+        }
+        rank.queue.dropIdle(MAX_IDLE_WORKSPACES);
+      }
+    }
+    for (const engine of this.#engines.values()) {
+      this.#evictUndelivered(engine, now);
+    }
+    this.#grantAll(now);
+  }
+
+  /** Moves what has delivered nothing, least urgent and newest first, before memory fills. */
+  #evictUndelivered(engine: engines.EngineState, now: number): void {
+    engine.updateForecast(this.#predictor, now);
+    while (engine.isMemoryFilling(EVICTION_HORIZON_TOKENS, now)) {
+      const stream = getEvictable(engine);
+      if (stream === undefined) return;
+      const capacity = stream.capacity;
+      this.#closeStream(engine, stream);
+      engine.updateForecast(this.#predictor, now);
+      this.#effects.push({
+        type: "evicted",
+        request: capacity.request,
+        endpoint: engine.info.endpoint,
+      });
+    }
+  }
+
+  #grantAll(now: number): void {
+    for (const model of this.#models.values()) this.#grantModel(model, now);
+  }
+
+  #grantModel(model: ModelState, now: number): void {
+    while (true) {
+      const granted = this.#grantNext(model, now);
+      if (!granted) return;
+    }
+  }
+
+  /** Grants the next request in the order of ranks; ranks that are owed their floor go first. */
+  #grantNext(model: ModelState, now: number): boolean {
+    for (const isOwedPass of [true, false]) {
+      for (const rank of model.ranks) {
+        if (rank.queue.size === 0) continue;
+        if (model.shares.isOwed(rank.name) !== isOwedPass) continue;
+        const item = rank.queue.getNext(now);
+        if (item === undefined) continue;
+        const engine = this.#chooseEngine(model, rank, item.capacity, now);
+        if (engine === undefined) {
+          model.saturatedAt = now;
+          if (isOwedPass) continue;
+          return false;
+        }
+        this.#grant(rank, item, engine, now);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  #grant(
+    rank: RankQueue,
+    item: QueuedRequest,
+    engine: engines.EngineState,
+    now: number,
+  ): void {
+    this.#unqueue(rank, item);
+    this.#openStream(engine, item.capacity, now);
+    rank.grants.recordAmount(1, now);
+    this.#effects.push({
+      type: "granted",
+      request: item.capacity.request,
+      endpoint: engine.info.endpoint,
+      queuedMs: now - item.arrivedAt,
+    });
+  }
+
+  #chooseEngine(
+    model: ModelState,
+    rank: RankQueue,
+    capacity: types.CapacityRequest,
+    now: number,
+  ): engines.EngineState | undefined {
+    const survival = this.#predictor.getSurvival(capacity);
+    const keepFree = this.#countReserved(model, rank, now);
+    let openSlots = 0;
+    const candidates: engines.EngineState[] = [];
+    for (const engine of this.#engines.values()) {
+      if (!isServing(engine, capacity)) continue;
+      const slots = this.#getMaxBatch(engine) - engine.streams.size;
+      if (slots <= 0) continue;
+      openSlots += slots;
+      candidates.push(engine);
+    }
+    const isOwed = model.shares.isOwed(rank.name);
+    if (!isOwed && openSlots <= keepFree) return undefined;
+    for (const engine of candidates) {
+      engine.updateForecast(this.#predictor, now);
+    }
+    return placement.choosePlacement(preferFresh(candidates, capacity.avoid), {
+      promptTokens: capacity.promptTokens,
+      emittedTokens: 0,
+      maxTokens: capacity.maxTokens,
+      survival,
+    }, { prefixes: capacity.prefixes, now });
+  }
+
+  /** Slots that more urgent ranks needed lately and do not hold now. */
+  #countReserved(model: ModelState, rank: RankQueue, now: number): number {
+    let reserved = 0;
+    for (const urgent of model.ranks) {
+      if (urgent.order >= rank.order) break;
+      reserved += Math.max(
+        0,
+        urgent.openPeak.getPeak(now) - urgent.openStreams,
+      );
+    }
+    return reserved;
+  }
+
+  #getMaxBatch(engine: engines.EngineState): number {
+    let targetMs = Infinity;
+    for (const rank of this.#manifest?.ranks.values() ?? []) {
+      targetMs = Math.min(targetMs, rank.betweenTokensMs);
+    }
+    const bySpeed = engine.speed.predictMaxBatch(targetMs * TOKEN_TARGET_SHARE);
+    return Math.min(engine.info.maxBatch, bySpeed);
+  }
+
+  #predictWaitMs(
+    model: ModelState,
+    rank: RankQueue,
+    workspace: core.WorkspaceName,
+    now: number,
+  ): number {
+    if (now - model.saturatedAt > SATURATION_MEMORY_MS) return 0;
+    const weight = this.#getWeight(workspace);
+    const ahead = rank.queue.predictItemsAhead(workspace, weight);
+    const rate = rank.grants.getRate(now);
+    if (rate <= 0) return 0;
+    return ahead / rate * 1000;
+  }
+
+  #openStream(
+    engine: engines.EngineState,
+    capacity: types.CapacityRequest,
+    now: number,
+  ): void {
+    const survival = this.#predictor.getSurvival(capacity);
+    const rank = getRank(this.#getModel(capacity.model), capacity.rank);
+    const expected = survival.computeQuantile(0, 0.5);
+    const stream = {
+      capacity,
+      rankOrder: rank.order,
+      grantedAt: now,
+      emittedTokens: 0,
+      lastReportAt: now,
+      prepaidTokens: Math.min(
+        capacity.maxTokens,
+        Math.max(MIN_PREPAID_TOKENS, expected),
+      ),
+    };
+    engine.addStream(stream, survival);
+    engine.prefixes.recordPrompt(capacity.prefixes);
+    this.#streams.set(capacity.request, engine);
+    rank.openStreams += 1;
+    rank.openPeak.recordValue(rank.openStreams, now);
+    const promptCost = capacity.promptTokens * PROMPT_TOKEN_COST;
+    this.#chargeTokens(capacity, stream.prepaidTokens + promptCost);
+  }
+
+  #closeStream(
+    engine: engines.EngineState,
+    stream: engines.ActiveStream,
+  ): void {
+    engine.removeStream(stream.capacity.request);
+    this.#streams.delete(stream.capacity.request);
+    this.#recordClosed(stream);
+  }
+
+  #recordClosed(stream: engines.ActiveStream): void {
+    const rank = getRank(
+      this.#getModel(stream.capacity.model),
+      stream.capacity.rank,
+    );
+    rank.openStreams -= 1;
+    this.#chargeTokens(stream.capacity, -stream.prepaidTokens);
+  }
+
+  #chargeTokens(capacity: types.CapacityRequest, tokens: number): void {
+    if (tokens === 0) return;
+    const model = this.#getModel(capacity.model);
+    const rank = getRank(model, capacity.rank);
+    rank.queue.chargeTokens(
+      capacity.workspace,
+      tokens,
+      this.#getWeight(capacity.workspace),
+    );
+    const floors = new Map<core.RankName, number>();
+    for (const [name, spec] of this.#manifest?.ranks ?? []) {
+      const isWaiting = getRank(model, name).queue.size > 0;
+      if (spec.floor > 0 && (isWaiting || name === rank.name)) {
+        floors.set(name, spec.floor);
+      }
+    }
+    if (floors.size > 0) {
+      model.shares.recordServed(rank.name, tokens, { floors });
+    }
+  }
+
+  #getWeight(workspace: core.WorkspaceName): number {
+    return this.#manifest?.workspaces.get(workspace)?.weight ?? 1;
+  }
+
+  #queue(rank: RankQueue, item: QueuedRequest): void {
+    this.#queued.set(item.capacity.request, item);
+    rank.queue.addItem(item, this.#getWeight(item.workspace));
+  }
+
+  #unqueue(rank: RankQueue, item: QueuedRequest): void {
+    this.#queued.delete(item.capacity.request);
+    rank.queue.removeItem(item);
+  }
+
+  #refuse(
+    capacity: types.CapacityRequest,
+    reason: types.RefusalReason,
+    _now: number,
+    waitMs = 0,
+  ): void {
+    this.#effects.push({
+      type: "refused",
+      request: capacity.request,
+      reason,
+      retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs)),
+    });
+  }
+
+  #getModel(name: core.ModelName): ModelState {
+    let model = this.#models.get(name);
+    if (model === undefined) {
+      model = {
+        name,
+        ranks: [],
+        shares: new shares.RankShares(),
+        saturatedAt: -Infinity,
+      };
+      this.#models.set(name, model);
+      if (this.#manifest !== undefined) {
+        this.#updateRanks(model, this.#manifest, 0);
+      }
+    }
+    return model;
+  }
+}
+
+function isServing(
+  engine: engines.EngineState,
+  capacity: types.CapacityRequest,
+): boolean {
+  return engine.info.accepting && engine.info.models.includes(capacity.model);
+}
+
+/** Leaves out engines that failed the request, unless there are no others. */
+function preferFresh(
+  candidates: engines.EngineState[],
+  avoid: readonly core.EndpointId[],
+): engines.EngineState[] {
+  if (avoid.length === 0) return candidates;
+  const fresh = candidates.filter((engine) =>
+    !avoid.includes(engine.info.endpoint)
+  );
+  return fresh.length > 0 ? fresh : candidates;
+}
+
+function getRank(model: ModelState, name: core.RankName): RankQueue {
+  for (const rank of model.ranks) if (rank.name === name) return rank;
+  const rank = createRankQueue(name, Number.MAX_SAFE_INTEGER, undefined);
+  model.ranks.push(rank);
+  return rank;
+}
+
+function getEvictable(
+  engine: engines.EngineState,
+): engines.ActiveStream | undefined {
+  let chosen: engines.ActiveStream | undefined;
+  for (const stream of engine.streams.values()) {
+    if (stream.emittedTokens > 0) continue;
+    if (chosen !== undefined && stream.rankOrder < chosen.rankOrder) continue;
+    chosen = stream;
+  }
+  return chosen;
+}
+
+function createRankQueue(
+  name: core.RankName,
+  order: number,
+  old: RankQueue | undefined,
+): RankQueue {
+  return {
+    name,
+    order,
+    queue: old?.queue ?? new queues.FairQueue<QueuedRequest>(),
+    grants: old?.grants ?? new reserves.DecayingRate(GRANT_RATE_WINDOW_MS),
+    openPeak: old?.openPeak ?? new reserves.DecayingPeak(),
+    openStreams: old?.openStreams ?? 0,
+  };
+}
--- /dev/null
+++ b/packages/services/src/mod.ts
@@ -0,0 +1,3 @@
+/** Plain services. */
+export * from "./errors.ts";
+export * from "./service_client.ts";
--- /dev/null
+++ b/packages/services/src/service_client.ts
@@ -0,0 +1,135 @@
+/** Plain services over HTTP; answers are read whole before they are passed on. */
+
+import type * as core from "@peridotvale/core";
+import * as neverthrow from "neverthrow";
+import * as undici from "undici";
+import * as errors from "./errors.ts";
+
+/** A call to a plain service. */
+export interface ServiceCall {
+  /** Identifies this attempt; the service echoes it in `x-request-id`. */
+  readonly attempt: string;
+  readonly method: string;
+  /** Path with its query string. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array | undefined;
+  readonly idempotent: boolean;
+  readonly timeoutMs: number;
+}
+
+/** A whole answer. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
+/** Result of a call. */
+export type ServiceResult = Promise<
+  neverthrow.Result<ServiceAnswer, errors.ServiceError>
+>;
+
+/** Speaks to plain services. */
+export interface ServiceClient {
+  /** Makes one attempt. */
+  call(
+    endpoint: core.EndpointId,
+    call: ServiceCall,
+    options: { readonly signal: AbortSignal },
+  ): ServiceResult;
+}
+
+/** Options of {@linkcode HttpServiceClient}. */
+export interface HttpServiceClientOptions {
+  readonly connectTimeoutMs: number;
+  readonly maxAnswerBytes: number;
+}
+
+/** Header by which a service says that it has done nothing. */
+const NOT_RUN_HEADER = "x-not-run";
+
+/** {@linkcode ServiceClient} over HTTP. */
+export class HttpServiceClient implements ServiceClient {
+  readonly #options: HttpServiceClientOptions;
+  readonly #agent: undici.Agent;
+
+  constructor(options: HttpServiceClientOptions) {
+    this.#options = options;
+    this.#agent = new undici.Agent({
+      connect: { timeout: options.connectTimeoutMs },
+    });
+  }
+
+  async call(
+    endpoint: core.EndpointId,
+    call: ServiceCall,
+    options: { readonly signal: AbortSignal },
+  ): ServiceResult {
+    if (call.idempotent) {
+      return await this.#send(endpoint, call, this.#agent, options.signal);
+    }
+    const connection = new undici.Client(`http://${endpoint}`, {
+      connect: { timeout: this.#options.connectTimeoutMs },
+      pipelining: 0,
+    });
+    try {
+      return await this.#send(endpoint, call, connection, options.signal);
+    } finally {
+      connection.destroy().catch(() => {});
+    }
+  }
+
+  async #send(
+    endpoint: core.EndpointId,
+    call: ServiceCall,
+    dispatcher: undici.Dispatcher,
+    signal: AbortSignal,
+  ): ServiceResult {
+    if (signal.aborted) {
+      return neverthrow.err(errors.createNotSentError("cancelled"));
+    }
+    try {
+      const response = await undici.request(`http://${endpoint}${call.path}`, {
+        method: call.method as undici.Dispatcher.HttpMethod,
+        headers: { ...call.headers, "x-request-id": call.attempt },
+        body: call.body ?? null,
+        dispatcher,
+        headersTimeout: call.timeoutMs,
+        bodyTimeout: call.timeoutMs,
+        signal: AbortSignal.any([signal, AbortSignal.timeout(call.timeoutMs)]),
+      });
+      const answer = await readAnswer(response, this.#options.maxAnswerBytes);
+      const echoed = answer.headers["x-request-id"];
+      if (echoed !== call.attempt) {
+        return neverthrow.err(errors.createCrossedError(echoed));
+      }
+      if (answer.headers[NOT_RUN_HEADER] !== undefined) {
+        return neverthrow.err(
+          errors.createNotSentError("the endpoint has done nothing"),
+        );
+      }
+      return neverthrow.ok(answer);
+    } catch (error) {
+      return neverthrow.err(errors.createServiceError(error));
+    }
+  }
+}
+
+async function readAnswer(
+  response: undici.Dispatcher.ResponseData,
+  maxBytes: number,
+): Promise<ServiceAnswer> {
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  for await (const chunk of response.body) {
+    size += (chunk as Uint8Array).length;
+    if (size > maxBytes) throw new errors.AnswerTooLargeError(maxBytes);
+    chunks.push(chunk as Uint8Array);
+  }
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(response.headers)) {
+    if (value !== undefined) headers[name] = String(value);
+  }
+  return { status: response.statusCode, headers, body: Buffer.concat(chunks) };
+}
