--- a/packages/callers/src/answer_format.ts
+++ b/packages/callers/src/answer_format.ts
@@ -24,9 +24,7 @@
 
   /** Formats one token's event. */
   formatToken(text: string, cursor: string): string {
-    return `id: ${cursor}\n${this.#chunkStart}${
-      JSON.stringify(text)
-    }${this.#chunkEnd}`;
+    return `id: ${cursor}\n${this.#chunkStart}${JSON.stringify(text)}${this.#chunkEnd}`;
   }
 
   /** Formats the last events of a stream. */
--- a/packages/callers/src/body.ts
+++ b/packages/callers/src/body.ts
@@ -69,9 +69,7 @@
   }
   const parsed = valibot.safeParse(chatSchema, json.value);
   if (!parsed.success) return neverthrow.err(formatIssues(parsed.issues));
-  const lines = parsed.output.messages.map((message) =>
-    `${message.role}: ${message.content}`
-  );
+  const lines = parsed.output.messages.map((message) => `${message.role}: ${message.content}`);
   return neverthrow.ok(createBody(parsed.output, lines.join("\n")));
 }
 
--- a/packages/callers/src/cursor.ts
+++ b/packages/callers/src/cursor.ts
@@ -149,9 +149,7 @@
     this.#delivered += 1;
     const position = this.#delivered.toString(RADIX);
     const hash = this.#prefixHash.toString(16);
-    return `${this.#head}.${position}.${hash}.${
-      computeCheck(position, hash, this.#key)
-    }`;
+    return `${this.#head}.${position}.${hash}.${computeCheck(position, hash, this.#key)}`;
   }
 }
 
--- a/packages/callers/src/server.ts
+++ b/packages/callers/src/server.ts
@@ -122,9 +122,7 @@
   app.get(
     "/readyz",
     (context) =>
-      requestHandler.isReady()
-        ? context.text("ready\n")
-        : context.text("not ready\n", 503),
+      requestHandler.isReady() ? context.text("ready\n") : context.text("not ready\n", 503),
   );
   app.get(
     "/metrics",
@@ -133,14 +131,12 @@
   app.post(
     "/v1/completions",
     limit,
-    (context) =>
-      serveGeneration(context, "completion", { requestHandler, ...options }),
+    (context) => serveGeneration(context, "completion", { requestHandler, ...options }),
   );
   app.post(
     "/v1/chat/completions",
     limit,
-    (context) =>
-      serveGeneration(context, "chat", { requestHandler, ...options }),
+    (context) => serveGeneration(context, "chat", { requestHandler, ...options }),
   );
   app.all(
     "/services/:service/*",
--- a/packages/core/src/manifest.ts
+++ b/packages/core/src/manifest.ts
@@ -62,6 +62,8 @@
   readonly fencing: boolean;
   /** Model loads that the weight store allows at once in one availability zone. */
   readonly maxConcurrentLoads: number;
+  /** Engines that are kept without work, as `host:port`. */
+  readonly standby: readonly string[];
 }
 
 /** A validated manifest. */
@@ -154,8 +156,12 @@
     valibot.strictObject({
       fencing: valibot.optional(booleanSchema, false),
       max_concurrent_loads: valibot.optional(countSchema, 1),
+      standby: valibot.optional(
+        valibot.array(textSchema, "must be a list"),
+        [],
+      ),
     }),
-    { fencing: false, max_concurrent_loads: 1 },
+    { fencing: false, max_concurrent_loads: 1, standby: [] },
   ),
 });
 
@@ -271,6 +277,7 @@
     engines: {
       fencing: value.engines.fencing,
       maxConcurrentLoads: value.engines.max_concurrent_loads,
+      standby: value.engines.standby,
     },
   };
 }
--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -70,7 +70,9 @@
 
 /** An engine's report of itself; lags. */
 export interface EngineStatus {
+  /** Whether it takes new work. */
   readonly accepting: boolean;
+  readonly role: "serving" | "standby";
   readonly models: readonly LoadedModel[];
   readonly runningStreams: number;
   readonly memoryUsedTokens: number;
--- a/packages/entry/src/call_runner.ts
+++ b/packages/entry/src/call_runner.ts
@@ -99,8 +99,7 @@
   async #place(): Promise<
     neverthrow.Result<core.EndpointId, callers.RequestProblem>
   > {
-    const { ask, rank, rankSpec, weight, deadlineAt, receivedAt } =
-      this.#resolved;
+    const { ask, rank, rankSpec, weight, deadlineAt, receivedAt } = this.#resolved;
     const placed = await this.#context.broker.acquire({
       id: this.#getId(),
       workspace: ask.workspace,
--- a/packages/entry/src/capacity_client.ts
+++ b/packages/entry/src/capacity_client.ts
@@ -12,9 +12,17 @@
   send(event: policy.SchedulerEvent): void;
 }
 
-/** Chooses the owners that a request may ask, the preferred first. */
+/** The ways that a request may go. */
+export interface LinkRoute {
+  /** Owners to ask, the preferred first; the next one is asked after a refusal. */
+  readonly owners: readonly CapacityLink[];
+  /** What to ask when an owner does not answer. */
+  readonly fallback: CapacityLink;
+}
+
+/** Chooses the ways that a request may go. */
 export interface LinkChooser {
-  chooseLinks(capacity: policy.CapacityRequest): readonly CapacityLink[];
+  chooseRoute(capacity: policy.CapacityRequest): LinkRoute;
   /** The owner of one engine, to register an open stream with. */
   chooseOwner(endpoint: core.EndpointId): CapacityLink | undefined;
 }
@@ -39,7 +47,9 @@
 
 interface Ask {
   readonly capacity: policy.CapacityRequest;
-  readonly links: CapacityLink[];
+  readonly fallback: CapacityLink;
+  /** Owners that were not asked yet. */
+  owners: CapacityLink[];
   link: CapacityLink;
   resolve: (result: neverthrow.Result<CapacityGrant, CapacityRefusal>) => void;
   timer: NodeJS.Timeout | undefined;
@@ -73,19 +83,11 @@
     capacity: policy.CapacityRequest,
     options: { readonly signal: AbortSignal },
   ): Promise<neverthrow.Result<CapacityGrant, CapacityRefusal>> {
-    const [first, ...links] = this.#chooser.chooseLinks(capacity);
-    if (first === undefined) {
-      return Promise.resolve(refuse("owner_unreachable"));
-    }
+    const { owners: [first, ...owners], fallback } = this.#chooser.chooseRoute(capacity);
     if (options.signal.aborted) return Promise.resolve(refuse("cancelled"));
     return new Promise((resolve) => {
-      const ask: Ask = {
-        capacity,
-        links,
-        link: first,
-        resolve,
-        timer: undefined,
-      };
+      const link = first ?? fallback;
+      const ask: Ask = { capacity, fallback, owners, link, resolve, timer: undefined };
       const cancel = () => this.#cancelAsk(ask);
       options.signal.addEventListener("abort", cancel, { once: true });
       ask.resolve = (result) => {
@@ -117,8 +119,14 @@
     return grant;
   }
 
-  /** Registers all open streams whose owner has changed with the new one. */
+  /** Moves waiting requests and open streams whose owner has changed to the new one. */
   reassign(): void {
+    for (const ask of this.#asks.values()) {
+      const { owners: [first, ...owners] } = this.#chooser.chooseRoute(ask.capacity);
+      if (first === undefined || first === ask.link) continue;
+      ask.owners = owners;
+      this.#moveAsk(ask, first);
+    }
     for (const grant of this.#grants.values()) {
       const link = this.#chooser.chooseOwner(grant.endpoint);
       if (link === undefined || link === grant.link) continue;
@@ -142,7 +150,7 @@
       case "granted":
         return this.#applyGrant(effect, link);
       case "refused":
-        return this.#applyRefusal(effect);
+        return this.#applyRefusal(effect, link);
       case "evicted":
         return this.#applyEviction(effect);
     }
@@ -164,29 +172,20 @@
   #sendAsk(ask: Ask): void {
     ask.link.send({ type: "request_arrived", capacity: ask.capacity });
     clearTimeout(ask.timer);
-    if (ask.links.length === 0 || !this.#asks.has(ask.capacity.request)) return;
-    ask.timer = setTimeout(() => {
-      if (!ask.link.isOpen()) this.#askNext(ask);
-      else this.#watchAsk(ask);
-    }, OWNER_SILENCE_MS);
+    if (this.#asks.has(ask.capacity.request) && ask.link !== ask.fallback) this.#watchAsk(ask);
   }
 
+  /** An owner that falls silent while the request waits is given up for the fallback. */
   #watchAsk(ask: Ask): void {
     ask.timer = setTimeout(() => {
       if (ask.link.isOpen()) this.#watchAsk(ask);
-      else this.#askNext(ask);
+      else this.#moveAsk(ask, ask.fallback);
     }, OWNER_SILENCE_MS);
   }
 
-  #askNext(ask: Ask): void {
-    const next = ask.links.shift();
-    if (next === undefined) return;
-    ask.link.send({
-      type: "request_ended",
-      request: ask.capacity.request,
-      ended: false,
-    });
-    ask.link = next;
+  #moveAsk(ask: Ask, link: CapacityLink): void {
+    ask.link.send({ type: "request_ended", request: ask.capacity.request, ended: false });
+    ask.link = link;
     this.#sendAsk(ask);
   }
 
@@ -225,12 +224,12 @@
 
   #applyRefusal(
     effect: Extract<policy.SchedulerEffect, { readonly type: "refused" }>,
+    link: CapacityLink,
   ): void {
     const ask = this.#asks.get(effect.request);
-    if (ask === undefined) return;
-    if (isWorthAskingOthers(effect.reason) && ask.links.length > 0) {
-      return this.#askNext(ask);
-    }
+    if (ask === undefined || ask.link !== link) return;
+    const next = isWorthAskingOthers(effect.reason) ? ask.owners.shift() : undefined;
+    if (next !== undefined) return this.#moveAsk(ask, next);
     ask.resolve(
       neverthrow.err({
         reason: effect.reason,
--- a/packages/entry/src/engine_monitor.ts
+++ b/packages/entry/src/engine_monitor.ts
@@ -7,101 +7,122 @@
 import type * as directories from "./endpoint_directory.ts";
 import type * as metrics from "./metrics.ts";
 
-/** Interval of status reads. */
-const READ_INTERVAL_MS = 500;
+/** A scheduler that may use a share of an engine. */
+export interface EngineAssignment {
+  readonly host: capacity.CapacityHost;
+  /** Share of the engine's capacity, 0 to 1. */
+  readonly share: number;
+}
 
 /** What the monitor works with. */
 export interface EngineMonitorOptions {
   readonly client: engines.EngineClient;
   readonly directory: directories.EndpointDirectory;
   readonly metrics: metrics.Metrics;
-  readonly hosts: readonly capacity.CapacityHost[];
-  /** Whether this process watches the engine. */
-  readonly isWatched: (engine: policy.ListedEndpoint) => boolean;
+  /** The schedulers of this process that may use the engine; none: it is not read. */
+  readonly getAssignments: (engine: policy.ListedEndpoint) => readonly EngineAssignment[];
+}
+
+interface WatchedEngine {
+  status: engines.EngineStatus | undefined;
+  assignments: readonly EngineAssignment[];
 }
 
+/** Interval of status reads. */
+const READ_INTERVAL_MS = 500;
+
 /** Watches engines. */
 export class EngineMonitor {
   readonly #runtime: core.Runtime;
   readonly #options: EngineMonitorOptions;
-  readonly #statuses = new Map<core.EndpointId, engines.EngineStatus>();
+  readonly #watched = new Map<core.EndpointId, WatchedEngine>();
 
   constructor(runtime: core.Runtime, options: EngineMonitorOptions) {
     this.#runtime = runtime;
     this.#options = options;
   }
 
-  /** The last status of each watched engine. */
-  get statuses(): ReadonlyMap<core.EndpointId, engines.EngineStatus> {
-    return this.#statuses;
+  /** The last status of an engine, if it is watched and has answered. */
+  getStatus(endpoint: core.EndpointId): engines.EngineStatus | undefined {
+    return this.#watched.get(endpoint)?.status;
   }
 
-  /** Reads every watched engine once. */
+  /** Reads every engine that a scheduler of this process may use. */
   async readAll(): Promise<void> {
-    const watched: core.EndpointId[] = [];
-    for (const engine of this.#options.directory.table.getEndpoints("engine")) {
-      if (this.#options.isWatched(engine)) watched.push(engine.endpoint);
-    }
-    this.#removeUnwatched(new Set(watched));
-    await Promise.all(watched.map((endpoint) => this.#readOne(endpoint)));
+    this.#updateWatched();
+    await Promise.all([...this.#watched.keys()].map((endpoint) => this.#readOne(endpoint)));
   }
 
-  /** Tells the schedulers at once that an engine's state has changed. */
+  /** Tells the schedulers at once what is known of the engine. */
   updateEngine(endpoint: core.EndpointId): void {
-    const status = this.#statuses.get(endpoint);
-    if (status === undefined) return;
+    const watched = this.#watched.get(endpoint);
+    if (watched?.status === undefined) return;
     const now = this.#runtime.clock.now();
+    const { status } = watched;
     const models: core.ModelName[] = [];
     for (const model of status.models) {
-      if (model.state === "ready") {
-        models.push(core.createId<core.ModelName>(model.model));
-      }
+      if (model.state === "ready") models.push(core.createId<core.ModelName>(model.model));
     }
-    const engine = {
-      endpoint,
-      models,
-      accepting: this.#options.directory.table.isAccepting(endpoint, now),
-      memoryLimitTokens: status.memoryLimitTokens,
-      maxBatch: status.maxBatch,
-    };
-    for (const host of this.#options.hosts) {
+    const accepting = this.#options.directory.table.isAccepting(endpoint, now);
+    for (const { host, share } of watched.assignments) {
+      const engine = {
+        endpoint,
+        models,
+        accepting,
+        memoryLimitTokens: status.memoryLimitTokens * share,
+        maxBatch: Math.max(1, Math.floor(status.maxBatch * share)),
+      };
       host.handleEvent({ type: "engine_updated", engine }, now);
     }
   }
 
+  /** Tells the schedulers what is known of every engine. */
+  updateAll(): void {
+    for (const endpoint of this.#watched.keys()) this.updateEngine(endpoint);
+  }
+
   async #readOne(endpoint: core.EndpointId): Promise<void> {
     const { table } = this.#options.directory;
     const status = await this.#options.client.readStatus(endpoint);
     const now = this.#runtime.clock.now();
+    const watched = this.#watched.get(endpoint);
+    if (watched === undefined) return;
     if (status.isErr()) {
       table.recordFailure(endpoint, now);
       this.updateEngine(endpoint);
       return;
     }
-    const before = this.#statuses.get(endpoint);
-    this.#statuses.set(endpoint, status.value);
+    const before = watched.status?.preemptions ?? status.value.preemptions;
+    watched.status = status.value;
     table.recordSuccess(endpoint);
     table.recordAnnouncement(endpoint, !status.value.accepting);
     this.updateEngine(endpoint);
     const { memoryUsedTokens, preemptions } = status.value;
     const report = { endpoint, memoryUsedTokens, preemptions };
-    for (const host of this.#options.hosts) {
+    for (const { host } of watched.assignments) {
       host.handleEvent({ type: "load_reported", report }, now);
     }
-    this.#options.metrics.recordPreemptions(
-      endpoint,
-      preemptions - (before?.preemptions ?? preemptions),
-    );
+    this.#options.metrics.recordPreemptions(endpoint, preemptions - before);
   }
 
-  #removeUnwatched(watched: ReadonlySet<core.EndpointId>): void {
+  #updateWatched(): void {
     const now = this.#runtime.clock.now();
-    for (const endpoint of [...this.#statuses.keys()]) {
-      if (watched.has(endpoint)) continue;
-      this.#statuses.delete(endpoint);
-      for (const host of this.#options.hosts) {
-        host.handleEvent({ type: "engine_removed", endpoint }, now);
+    const wanted = new Map<core.EndpointId, readonly EngineAssignment[]>();
+    for (const engine of this.#options.directory.table.getEndpoints("engine")) {
+      const assignments = this.#options.getAssignments(engine);
+      if (assignments.length > 0) wanted.set(engine.endpoint, assignments);
+    }
+    for (const [endpoint, watched] of this.#watched) {
+      const hosts = new Set(wanted.get(endpoint)?.map((assignment) => assignment.host));
+      for (const { host } of watched.assignments) {
+        if (!hosts.has(host)) host.handleEvent({ type: "engine_removed", endpoint }, now);
       }
+      if (hosts.size === 0) this.#watched.delete(endpoint);
+    }
+    for (const [endpoint, assignments] of wanted) {
+      const known = this.#watched.get(endpoint);
+      if (known === undefined) this.#watched.set(endpoint, { status: undefined, assignments });
+      else known.assignments = assignments;
     }
   }
 }
--- /dev/null
+++ b/packages/entry/src/fleet.ts
@@ -0,0 +1,316 @@
+/** Keeps this process in touch with the others: membership, manifests, endpoints. */
+
+import * as core from "@peridotvale/core";
+import * as peers from "@peridotvale/peers";
+import * as policy from "@peridotvale/policy";
+import type * as decisionLogs from "./decision_log.ts";
+import type * as directories from "./endpoint_directory.ts";
+import type * as manifests from "./manifest_agent.ts";
+import * as topics from "./topics.ts";
+
+/** Takes messages about capacity. */
+export interface CapacityMessageHandler {
+  onEvents(link: peers.PeerLink, events: readonly policy.SchedulerEvent[]): void;
+  onEffects(link: peers.PeerLink, effects: readonly policy.SchedulerEffect[]): void;
+  onLinkLost(link: peers.PeerLink): void;
+}
+
+/** What the fleet works with. */
+export interface FleetOptions {
+  readonly self: policy.MemberInfo;
+  readonly seeds: readonly string[];
+  readonly directory: directories.EndpointDirectory;
+  readonly manifests: manifests.ManifestAgent;
+  readonly decisions: decisionLogs.DecisionLog;
+  readonly neighbours: policy.NeighbourSet;
+  readonly capacity: CapacityMessageHandler;
+  /** Load of this process, sent with heartbeats. */
+  readonly getLoad: () => {
+    readonly openRequests: number;
+    readonly groups: readonly peers.GroupLoad[];
+  };
+  /** Peers beside the neighbours that links are wanted to. */
+  readonly getWantedPeers: () => readonly core.ProcessId[];
+}
+
+/** What a peer last said of itself in a heartbeat. */
+export interface PeerReport {
+  readonly release: number;
+  readonly openRequests: number;
+  readonly groups: readonly peers.GroupLoad[];
+  readonly releaseSince: number;
+}
+
+interface OpenQuery {
+  readonly collect: (decisions: readonly peers.ExplainedDecision[]) => void;
+}
+
+const TICK_INTERVAL_MS = 100;
+const HEARTBEAT_INTERVAL_MS = 500;
+/** Silence after which a link is replaced. */
+const LINK_SILENCE_MS = 2_000;
+/** Processes of a zone that watch the platform for all. */
+const WATCHERS_PER_ZONE = 2;
+const EXPLAIN_WAIT_MS = 400;
+const SEED_PREFIX = "seed:";
+
+/** This process's view of the others, and its links to them. */
+export class Fleet {
+  readonly membership: policy.Membership;
+  readonly mesh: peers.PeerMesh;
+  readonly #runtime: core.Runtime;
+  readonly #options: FleetOptions;
+  readonly #reports = new Map<core.ProcessId, PeerReport>();
+  readonly #queries = new Map<number, OpenQuery>();
+  #nextQuery = 0;
+  #seenVersion = -1;
+
+  constructor(
+    runtime: core.Runtime,
+    options: FleetOptions & { readonly host: string; readonly port: number },
+  ) {
+    this.#runtime = runtime;
+    this.#options = options;
+    this.membership = new policy.Membership(options.self);
+    this.mesh = new peers.PeerMesh({
+      host: options.host,
+      port: options.port,
+      clock: runtime.clock,
+      getSelf: () => this.membership.self,
+      listener: {
+        onLinkOpened: (link) => this.#startLink(link),
+        onMessage: (link, message) => this.#applyMessage(link, message),
+        onLinkLost: (process, link) => this.#endLink(process, link),
+      },
+    });
+  }
+
+  /** What a peer last said of itself. */
+  getReport(process: core.ProcessId): PeerReport | undefined {
+    return this.#reports.get(process);
+  }
+
+  /** Whether this process watches the platform for its zone. */
+  isWatcher(): boolean {
+    const { process, zone } = this.membership.self;
+    const watchers = policy.rankOwners("platform", zone, {
+      candidates: this.membership.getLive(),
+      count: WATCHERS_PER_ZONE,
+    });
+    return watchers.length === 0 || watchers.includes(process);
+  }
+
+  /** The process of this zone that holds a named duty. */
+  getDutyHolder(duty: string): core.ProcessId | undefined {
+    const { zone } = this.membership.self;
+    const candidates = this.membership.getLive();
+    return policy.rankOwners(duty, zone, { candidates, count: 1 })[0];
+  }
+
+  /** Passes endpoints on that are new or leaving. */
+  sendEndpoints(endpoints: readonly policy.ListedEndpoint[]): void {
+    if (endpoints.length === 0) return;
+    this.#sendAll({ type: "endpoints", endpoints });
+  }
+
+  /** Tells all others that this process drains. */
+  startDrain(): void {
+    const now = this.#runtime.clock.now();
+    this.membership.handle({ type: "drain_started" }, now);
+    this.runTick(now);
+  }
+
+  /** Collects what the linked processes know of a request. */
+  explain(
+    request: core.RequestId,
+  ): Promise<
+    readonly { readonly process: core.ProcessId; readonly decision: peers.ExplainedDecision }[]
+  > {
+    const found: { process: core.ProcessId; decision: peers.ExplainedDecision }[] = [];
+    for (const link of this.mesh.getOutgoingLinks()) {
+      const query = this.#nextQuery++;
+      const { process } = link.peer!;
+      this.#queries.set(query, {
+        collect: (decisions) => {
+          for (const decision of decisions) found.push({ process, decision });
+        },
+      });
+      setTimeout(() => this.#queries.delete(query), EXPLAIN_WAIT_MS);
+      link.send({ type: "explain", query, request });
+    }
+    return new Promise((resolve) => setTimeout(() => resolve(found), EXPLAIN_WAIT_MS));
+  }
+
+  /** Updates beliefs and links. */
+  runTick(now: number): void {
+    this.membership.handle({ type: "ticked" }, now);
+    this.mesh.closeSilent(LINK_SILENCE_MS, now);
+    this.#updateTargets(now);
+    const updates = this.membership.takeNews();
+    if (updates.length > 0) this.#sendAll({ type: "updates", updates });
+    this.#publishChanges();
+  }
+
+  /** Sends a heartbeat on every link that this process keeps. */
+  sendHeartbeats(): void {
+    const heartbeat = this.#createHeartbeat(true);
+    for (const link of this.mesh.getOutgoingLinks()) link.send(heartbeat);
+  }
+
+  /** Passes a manifest on that has just come into force. */
+  sendManifest(record: policy.ManifestRecord): void {
+    this.#sendAll({ type: "manifest", record });
+  }
+
+  #sendAll(message: peers.PeerMessage): void {
+    const told = new Set<core.ProcessId>();
+    for (const link of this.mesh.getLinks()) {
+      if (link.peer === undefined || told.has(link.peer.process)) continue;
+      told.add(link.peer.process);
+      link.send(message);
+    }
+  }
+
+  #updateTargets(now: number): void {
+    const known = new Map<core.ProcessId, policy.MemberCandidate>();
+    for (const candidate of this.membership.candidates) known.set(candidate.process, candidate);
+    for (const member of this.membership.getLive()) known.set(member.process, member);
+    const { self } = this.membership;
+    known.delete(self.process);
+    const wanted = new Set([
+      ...this.#options.neighbours.chooseNeighbours(self, [...known.values()]),
+      ...this.#options.getWantedPeers(),
+    ]);
+    const targets: peers.PeerTarget[] = [];
+    for (const process of wanted) {
+      const peer = known.get(process);
+      if (peer !== undefined) targets.push({ process, address: peer.address });
+    }
+    this.mesh.updateTargets([...targets, ...this.#getSeedTargets(known)], now);
+    for (const member of this.membership.getMembers()) {
+      if (wanted.has(member.process)) continue;
+      this.membership.handle({ type: "watch_ended", process: member.process }, now);
+    }
+  }
+
+  /** Seeds are dialled only while nobody else is known. */
+  #getSeedTargets(known: ReadonlyMap<core.ProcessId, unknown>): peers.PeerTarget[] {
+    if (known.size > 0) return [];
+    return this.#options.seeds.map((address) => ({
+      process: `${SEED_PREFIX}${address}` as core.ProcessId,
+      address,
+    }));
+  }
+
+  #publishChanges(): void {
+    if (this.membership.version === this.#seenVersion) return;
+    this.#seenVersion = this.membership.version;
+    this.#runtime.publish(topics.MEMBERS_CHANGED, undefined);
+  }
+
+  #startLink(link: peers.PeerLink): void {
+    const now = this.#runtime.clock.now();
+    this.#recordPeer(link, link.peer!, now);
+    link.send({ type: "updates", updates: this.membership.getAllUpdates() });
+    const endpoints = this.#options.directory.table.getAll();
+    if (endpoints.length > 0) link.send({ type: "endpoints", endpoints });
+    if (link.outgoing) link.send(this.#createHeartbeat(true));
+  }
+
+  #recordPeer(link: peers.PeerLink, info: policy.MemberInfo, now: number): void {
+    if (info.process === this.membership.self.process) return;
+    if (link.outgoing && this.mesh.getLink(info.process) === link) {
+      this.membership.handle({ type: "peer_heard", info }, now);
+      return;
+    }
+    const updates = [{ ...info, state: "alive" as const }];
+    this.membership.handle({ type: "updates_received", updates }, now);
+  }
+
+  #endLink(process: core.ProcessId, link: peers.PeerLink | undefined): void {
+    const now = this.#runtime.clock.now();
+    if (link !== undefined) this.#options.capacity.onLinkLost(link);
+    if (link?.outgoing) this.membership.handle({ type: "link_lost", process }, now);
+  }
+
+  #applyMessage(link: peers.PeerLink, message: peers.PeerMessage): void {
+    const now = this.#runtime.clock.now();
+    switch (message.type) {
+      case "heartbeat":
+        return this.#applyHeartbeat(link, message, now);
+      case "updates":
+        this.membership.handle({ type: "updates_received", updates: message.updates }, now);
+        return;
+      case "manifest":
+        this.#options.manifests.applyRecord(message.record, `peer ${link.peer!.process}`);
+        return;
+      case "endpoints":
+        return this.#applyEndpoints(message.endpoints);
+      case "capacity_events":
+        return this.#options.capacity.onEvents(link, message.events);
+      case "capacity_effects":
+        return this.#options.capacity.onEffects(link, message.effects);
+      case "explain":
+        link.send({
+          type: "explained",
+          query: message.query,
+          decisions: this.#options.decisions.getDecisions(message.request),
+        });
+        return;
+      case "explained":
+        this.#queries.get(message.query)?.collect(message.decisions);
+        return;
+      case "hello":
+        return;
+    }
+  }
+
+  #applyHeartbeat(
+    link: peers.PeerLink,
+    message: peers.HeartbeatMessage,
+    now: number,
+  ): void {
+    this.#recordPeer(link, message.info, now);
+    const { process } = message.info;
+    const known = this.#reports.get(process);
+    const isSame = known?.release === message.release;
+    this.#reports.set(process, {
+      release: message.release,
+      openRequests: message.openRequests,
+      groups: message.groups,
+      releaseSince: isSame ? known.releaseSince : now,
+    });
+    const record = this.#options.manifests.record;
+    if (record !== undefined && message.release < record.release) {
+      link.send({ type: "manifest", record });
+    }
+    if (message.ask) link.send(this.#createHeartbeat(false));
+  }
+
+  #applyEndpoints(endpoints: readonly policy.ListedEndpoint[]): void {
+    const news = this.#options.directory.applyNews(endpoints);
+    if (news.length === 0) return;
+    this.sendEndpoints(news);
+    this.#runtime.publish(topics.ENDPOINTS_CHANGED, undefined);
+  }
+
+  #createHeartbeat(ask: boolean): peers.HeartbeatMessage {
+    return {
+      type: "heartbeat",
+      info: this.membership.self,
+      release: this.#options.manifests.record?.release ?? 0,
+      ask,
+      ...this.#options.getLoad(),
+    };
+  }
+}
+
+/** Keeps `fleet` going. */
+export function registerFleet(runtime: core.Runtime, fleet: Fleet): core.Disposer {
+  return core.mergeDisposers(
+    () => fleet.mesh.stop(),
+    runtime.registerInterval((now) => fleet.runTick(now), TICK_INTERVAL_MS),
+    runtime.registerInterval(() => fleet.sendHeartbeats(), HEARTBEAT_INTERVAL_MS),
+    runtime.registerListener(topics.MANIFEST_APPLIED, ({ record }) => fleet.sendManifest(record)),
+  );
+}
--- a/packages/entry/src/front.ts
+++ b/packages/entry/src/front.ts
@@ -16,6 +16,8 @@
   readonly call: calls.CallContext;
   readonly idempotency: idempotency.IdempotencyContext;
   readonly manifests: manifests.ManifestAgent;
+  /** Whether the process knows enough endpoints to serve. */
+  readonly isSettled: () => boolean;
   readonly maxPromptTokens: number;
   readonly maxOpenRequests: number;
 }
@@ -53,7 +55,8 @@
   }
 
   isReady(): boolean {
-    return !this.#isDraining && this.#options.manifests.manifest !== undefined;
+    const { manifests, isSettled } = this.#options;
+    return !this.#isDraining && manifests.manifest !== undefined && isSettled();
   }
 
   readMetrics(): Promise<string> {
@@ -134,8 +137,7 @@
         problems.createUnknownNameProblem("unknown_rank", rank),
       );
     }
-    const isFull =
-      (this.#open.get(ask.workspace) ?? 0) >= workspace.maxOpenRequests ||
+    const isFull = (this.#open.get(ask.workspace) ?? 0) >= workspace.maxOpenRequests ||
       this.#openCount >= this.#options.maxOpenRequests;
     if (isFull) {
       return neverthrow.err(problems.createCapacityProblem(
@@ -172,8 +174,7 @@
     const promptTokens = policy.estimatePromptTokens(ask.promptText);
     if (promptTokens > this.#options.maxPromptTokens) {
       return neverthrow.err(callers.createRefusal(413, "prompt_too_large", {
-        detail:
-          `about ${promptTokens} tokens; at most ${this.#options.maxPromptTokens}`,
+        detail: `about ${promptTokens} tokens; at most ${this.#options.maxPromptTokens}`,
       }));
     }
     const maxTokens = Math.min(
--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -16,7 +16,7 @@
 export interface GenerationContext {
   readonly runtime: core.Runtime;
   readonly client: engines.EngineClient;
-  readonly capacity: capacity.CapacityClient;
+  readonly getCapacity: () => capacity.CapacityClient;
   readonly directory: directories.EndpointDirectory;
   readonly metrics: metrics.Metrics;
   readonly decisions: decisions.DecisionLog;
@@ -129,9 +129,7 @@
         const problem = await this.#acquire();
         if (problem !== undefined) return neverthrow.err(problem);
       }
-      const result = step === "start"
-        ? await this.#start()
-        : await this.#resume();
+      const result = step === "start" ? await this.#start() : await this.#resume();
       if (result.isOk()) return neverthrow.ok(result.value);
       if (this.#position.delivered > before) this.#idleResumes = 0;
       const next = this.#chooseNext(result.error);
@@ -169,7 +167,7 @@
 
   async #acquire(): Promise<callers.RequestProblem | undefined> {
     this.#leaveGeneration(false);
-    const granted = await this.#context.capacity.acquire(
+    const granted = await this.#context.getCapacity().acquire(
       this.#createCapacity(),
       {
         signal: this.#abort.signal,
@@ -245,7 +243,7 @@
     }
     if (this.#grant === undefined) {
       const emittedTokens = this.#position.delivered;
-      this.#grant = this.#context.capacity.adopt(this.#createCapacity(), {
+      this.#grant = this.#context.getCapacity().adopt(this.#createCapacity(), {
         endpoint,
         emittedTokens,
       });
--- a/packages/entry/src/idempotency.ts
+++ b/packages/entry/src/idempotency.ts
@@ -175,8 +175,7 @@
       status: 409,
       code: "answer_not_kept",
       outcome: "failed",
-      detail:
-        `the call ran once with status ${record.status}; its answer was too large to keep`,
+      detail: `the call ran once with status ${record.status}; its answer was too large to keep`,
     });
   }
   return neverthrow.ok({
--- a/packages/entry/src/local_link.ts
+++ b/packages/entry/src/local_link.ts
@@ -14,19 +14,21 @@
     link: client.CapacityLink,
   ) => void;
 
+  readonly #onAsk: (() => void) | undefined;
+
   constructor(
     runtime: core.Runtime,
     options: {
       readonly host: hosts.CapacityHost;
-      readonly onEffect: (
-        effect: policy.SchedulerEffect,
-        link: client.CapacityLink,
-      ) => void;
+      readonly onEffect: (effect: policy.SchedulerEffect, link: client.CapacityLink) => void;
+      /** Called before each request for capacity. */
+      readonly onAsk?: () => void;
     },
   ) {
     this.#runtime = runtime;
     this.#host = options.host;
     this.#onEffect = options.onEffect;
+    this.#onAsk = options.onAsk;
   }
 
   isOpen(): boolean {
@@ -34,6 +36,7 @@
   }
 
   send(event: policy.SchedulerEvent): void {
+    if (event.type === "request_arrived") this.#onAsk?.();
     this.#host.handleRequestEvent(event, this.#runtime.clock.now(), {
       origin: this,
     });
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -25,8 +25,7 @@
     .action((options: MainOptions) => start(options));
   const parsed = program.parse([...argv], { lazy: true });
   if (parsed === undefined) return;
-  process.exitCode =
-    await (parsed.handler(...parsed.args) as unknown as Promise<number>);
+  process.exitCode = await (parsed.handler(...parsed.args) as unknown as Promise<number>);
 }
 
 async function start(options: MainOptions): Promise<number> {
--- a/packages/entry/src/manifest_agent.ts
+++ b/packages/entry/src/manifest_agent.ts
@@ -9,8 +9,11 @@
 /** Key of the manifest in the key-value service. */
 export const MANIFEST_KEY = "peridotvale/manifest";
 
-const POLL_INTERVAL_MS = 2_000;
-const WATCH_RETRY_MS = 500;
+const WATCHER_POLL_MS = 2_000;
+/** Polls of a process that is no watcher come once in so many intervals. */
+const SLOW_POLL_INTERVALS = 15;
+/** Silence after which the platform counts as unreachable. */
+const PLATFORM_SILENCE_MS = 5_000;
 const SUBMIT_ATTEMPTS = 4;
 const SUBMIT_RETRY_MS = 200;
 
@@ -47,7 +50,7 @@
   readonly #register = new policy.ManifestRegister();
   #manifest: core.Manifest | undefined;
   #heardAt = -Infinity;
-  #isWatching = false;
+  #stopWatch: (() => void) | undefined;
 
   constructor(
     runtime: core.Runtime,
@@ -75,7 +78,7 @@
   /** What is known of the platform. */
   getPlatformState(now: number): PlatformState {
     const silentMs = now - this.#heardAt;
-    return { reachable: silentMs < 2 * POLL_INTERVAL_MS, silentMs };
+    return { reachable: silentMs < PLATFORM_SILENCE_MS, silentMs };
   }
 
   /** Applies a record from any source; never goes back to a lower release. */
@@ -137,8 +140,7 @@
       text,
     };
     if (record.release <= options.base) {
-      const message =
-        `release ${record.release} is not above its base ${options.base}`;
+      const message = `release ${record.release} is not above its base ${options.base}`;
       return neverthrow.err({ type: "not_accepted", message });
     }
     const inForce = this.record;
@@ -210,9 +212,7 @@
     if (stored.isErr()) return;
     this.#recordHeard();
     const record = decodeRecord(stored.value?.value);
-    const verdict = record === undefined
-      ? "stale"
-      : this.applyRecord(record, "platform");
+    const verdict = record === undefined ? "stale" : this.applyRecord(record, "platform");
     const inForce = this.record;
     if (verdict !== "stale" || inForce === undefined) return;
     const restored = await this.#store.commit([{
@@ -228,29 +228,26 @@
   }
 
   /** Opens a watch unless one is open. */
-  startWatch(): core.Disposer {
-    let stop: (() => void) | undefined;
-    let isDisposed = false;
-    const open = () => {
-      if (isDisposed || this.#isWatching) return;
-      this.#isWatching = true;
-      stop = this.#store.watch(MANIFEST_KEY, {
-        onChange: (change) => {
-          this.#recordHeard();
-          const record = decodeRecord(change.value);
-          if (record !== undefined) this.applyRecord(record, "watch");
-        },
-        onEnd: () => {
-          this.#isWatching = false;
-          setTimeout(open, WATCH_RETRY_MS).unref();
-        },
-      });
-    };
-    open();
-    return () => {
-      isDisposed = true;
-      stop?.();
-    };
+  startWatch(): void {
+    if (this.#stopWatch !== undefined) return;
+    const stop = this.#store.watch(MANIFEST_KEY, {
+      onChange: (change) => {
+        this.#recordHeard();
+        const record = decodeRecord(change.value);
+        if (record !== undefined) this.applyRecord(record, "watch");
+      },
+      onEnd: () => {
+        if (this.#stopWatch === stop) this.#stopWatch = undefined;
+      },
+    });
+    this.#stopWatch = stop;
+  }
+
+  /** Closes the watch if one is open. */
+  stopWatch(): void {
+    const stop = this.#stopWatch;
+    this.#stopWatch = undefined;
+    stop?.();
   }
 
   #recordHeard(): void {
@@ -258,15 +255,26 @@
   }
 }
 
-/** Keeps `agent` in touch with the platform. */
+/** Keeps `agent` in touch with the platform; only watchers watch and read often. */
 export function registerManifestAgent(
   runtime: core.Runtime,
   agent: ManifestAgent,
+  options: { readonly isWatcher: () => boolean },
 ): core.Disposer {
+  let skipped = 0;
   void agent.poll();
+  const run = async () => {
+    skipped += 1;
+    const isWatcher = options.isWatcher();
+    if (isWatcher) agent.startWatch();
+    else agent.stopWatch();
+    if (!isWatcher && skipped < SLOW_POLL_INTERVALS && agent.record !== undefined) return;
+    skipped = 0;
+    await agent.poll();
+  };
   return core.mergeDisposers(
-    agent.startWatch(),
-    runtime.registerInterval(() => agent.poll(), POLL_INTERVAL_MS),
+    () => agent.stopWatch(),
+    runtime.registerInterval(run, WATCHER_POLL_MS),
   );
 }
 
--- a/packages/entry/src/operator_views.ts
+++ b/packages/entry/src/operator_views.ts
@@ -2,8 +2,10 @@
 
 import * as core from "@peridotvale/core";
 import type * as operators from "@peridotvale/operators";
+import type * as routers from "./capacity_router.ts";
 import type * as decisionLogs from "./decision_log.ts";
 import type * as directories from "./endpoint_directory.ts";
+import type * as fleets from "./fleet.ts";
 import type * as fronts from "./front.ts";
 import type * as manifests from "./manifest_agent.ts";
 
@@ -16,6 +18,8 @@
   readonly manifests: manifests.ManifestAgent;
   readonly decisions: decisionLogs.DecisionLog;
   readonly front: fronts.Front;
+  readonly fleet: fleets.Fleet;
+  readonly router: routers.CapacityRouter;
 }
 
 /** {@linkcode operators.OperatorHandler} of an entry process. */
@@ -34,10 +38,8 @@
       process,
       zone,
       platformReachable: reachable,
-      platformSilentMs: Number.isFinite(silentMs)
-        ? Math.round(silentMs)
-        : undefined,
-      processes: [this.#createOwnView(now)],
+      platformSilentMs: Number.isFinite(silentMs) ? Math.round(silentMs) : undefined,
+      processes: [this.#createOwnView(now), ...this.#createPeerViews(now)],
       endpoints: this.#createEndpointViews(now),
     };
   }
@@ -67,13 +69,17 @@
     };
   }
 
-  explain(request: core.RequestId): Promise<readonly operators.DecisionView[]> {
-    const { process, decisions } = this.#options;
-    const views = decisions.getDecisions(request).map((decision) => ({
-      process,
-      ...decision,
-    }));
-    return Promise.resolve(views);
+  /** What this process and those linked to it know, oldest first. */
+  async explain(request: core.RequestId): Promise<readonly operators.DecisionView[]> {
+    const { process, decisions, fleet } = this.#options;
+    const views = decisions.getDecisions(request).map((decision) => ({ process, ...decision }));
+    const found: operators.DecisionView[] = [...views];
+    if (found.length === 0) {
+      for (const remote of await fleet.explain(request)) {
+        found.push({ process: remote.process, ...remote.decision });
+      }
+    }
+    return found.sort((a, b) => a.at - b.at);
   }
 
   #createOwnView(now: number): operators.ProcessView {
@@ -83,15 +89,29 @@
       zone,
       state: front.isReady() ? "alive" : "draining",
       release: manifests.record?.release ?? 0,
-      inForceMs: manifests.record === undefined
-        ? undefined
-        : now - manifests.appliedAt,
+      inForceMs: manifests.record === undefined ? undefined : now - manifests.appliedAt,
       openRequests: front.openCount,
     };
   }
 
+  #createPeerViews(now: number): operators.ProcessView[] {
+    const { fleet } = this.#options;
+    const views = fleet.membership.getMembers().map((member) => {
+      const report = fleet.getReport(member.process);
+      return {
+        process: member.process,
+        zone: member.zone,
+        state: member.draining && member.state === "alive" ? "draining" as const : member.state,
+        release: report?.release ?? 0,
+        inForceMs: report === undefined ? undefined : now - report.releaseSince,
+        openRequests: report?.openRequests,
+      };
+    });
+    return views.sort((a, b) => `${a.zone}${a.process}` < `${b.zone}${b.process}` ? -1 : 1);
+  }
+
   #createEndpointViews(now: number): operators.EndpointView[] {
-    const { table } = this.#options.directory;
+    const { router, directory: { table } } = this.#options;
     const listed = [
       ...table.getEndpoints("engine"),
       ...table.getEndpoints("service"),
@@ -101,7 +121,7 @@
       zone: entry.zone,
       role: entry.service ?? entry.role,
       accepting: table.isAccepting(entry.endpoint, now),
-      owner: undefined,
+      owner: entry.role === "engine" ? router.getOwner(entry.endpoint) : undefined,
     }));
   }
 }
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -31,7 +31,12 @@
   cores: valibot.optional(createCountSchema(1, 1024), 1),
   callers: listenSchema,
   operators: listenSchema,
-  peers: listenSchema,
+  peers: valibot.strictObject({
+    host: textSchema,
+    port: portSchema,
+    /** Addresses of peers to ask while the VM list cannot be read. */
+    seeds: valibot.optional(valibot.array(textSchema, "must be a list"), []),
+  }),
   platform: valibot.strictObject({
     url: valibot.pipe(textSchema, valibot.url("must be a URL")),
     timeout_ms: valibot.optional(durationSchema, 1_000),
--- a/packages/operators/src/operator_client.ts
+++ b/packages/operators/src/operator_client.ts
@@ -33,9 +33,7 @@
   /** `undefined` if no manifest is in force. */
   async readManifest(): OperatorResult<handler.ManifestView | undefined> {
     const view = await this.#call<handler.ManifestView>("/manifest", {});
-    return view.map((manifest) =>
-      manifest.text === undefined ? undefined : manifest
-    );
+    return view.map((manifest) => manifest.text === undefined ? undefined : manifest);
   }
 
   submit(
--- a/packages/operators/src/peridotctl.ts
+++ b/packages/operators/src/peridotctl.ts
@@ -64,13 +64,10 @@
     .action((options: CommonOptions) => showStatus(options));
   program
     .command("explain <request>", "Print the decisions about a recent request")
-    .action((request: string, options: CommonOptions) =>
-      explain(request, options)
-    );
+    .action((request: string, options: CommonOptions) => explain(request, options));
   const parsed = program.parse([...argv], { lazy: true });
   if (parsed === undefined) return;
-  process.exitCode =
-    await (parsed.handler(...parsed.args) as unknown as Promise<number>);
+  process.exitCode = await (parsed.handler(...parsed.args) as unknown as Promise<number>);
 }
 
 function validate(file: string, options: CommonOptions): number {
@@ -117,9 +114,7 @@
       return writeProblems(view.problems, options);
     case "conflict":
       writeError(options, view, [
-        `conflict: release ${view.inForce} (submission ${
-          view.submission ?? "none"
-        }) is in force`,
+        `conflict: release ${view.inForce} (submission ${view.submission ?? "none"}) is in force`,
         "nothing was changed; rebase on it: peridotctl show",
       ]);
       return EXIT_CODES.conflict;
@@ -178,9 +173,7 @@
   const silent = status.platformSilentMs === undefined
     ? "never answered"
     : `last answered ${formatAge(status.platformSilentMs)} ago`;
-  const platform = status.platformReachable
-    ? "reachable"
-    : `UNREACHABLE, ${silent}`;
+  const platform = status.platformReachable ? "reachable" : `UNREACHABLE, ${silent}`;
   const processes = status.processes.map((entry) => [
     entry.zone,
     entry.process,
--- /dev/null
+++ b/packages/peers/src/messages.ts
@@ -0,0 +1,93 @@
+/** Messages between entry processes. */
+
+import type * as core from "@peridotvale/core";
+import type * as policy from "@peridotvale/policy";
+
+/** Load of one engine group, as its owner sees it. */
+export interface GroupLoad {
+  readonly index: number;
+  readonly openStreams: number;
+  readonly queuedRequests: number;
+}
+
+/** First message on every link, in both directions. */
+export interface HelloMessage {
+  readonly type: "hello";
+  readonly info: policy.MemberInfo;
+}
+
+/** Sent at intervals by the side that opened the link; the other side answers with its own. */
+export interface HeartbeatMessage {
+  readonly type: "heartbeat";
+  readonly info: policy.MemberInfo;
+  /** Release in force; 0 if none. */
+  readonly release: number;
+  readonly openRequests: number;
+  /** Groups that the sender owns. */
+  readonly groups: readonly GroupLoad[];
+  /** Whether an answer is wanted. */
+  readonly ask: boolean;
+}
+
+/** News of members. */
+export interface UpdatesMessage {
+  readonly type: "updates";
+  readonly updates: readonly policy.MemberUpdate[];
+}
+
+/** A manifest that is in force at the sender. */
+export interface ManifestMessage {
+  readonly type: "manifest";
+  readonly record: policy.ManifestRecord;
+}
+
+/** Endpoints that the sender's VM list names anew or as leaving. */
+export interface EndpointsMessage {
+  readonly type: "endpoints";
+  readonly endpoints: readonly policy.ListedEndpoint[];
+}
+
+/** Events for the receiver's scheduler. */
+export interface CapacityEventsMessage {
+  readonly type: "capacity_events";
+  readonly events: readonly policy.SchedulerEvent[];
+}
+
+/** Effects of the sender's scheduler. */
+export interface CapacityEffectsMessage {
+  readonly type: "capacity_effects";
+  readonly effects: readonly policy.SchedulerEffect[];
+}
+
+/** Asks for the decisions about a request. */
+export interface ExplainMessage {
+  readonly type: "explain";
+  readonly query: number;
+  readonly request: core.RequestId;
+}
+
+/** One decision. */
+export interface ExplainedDecision {
+  readonly at: number;
+  readonly event: string;
+  readonly fields: core.LogFields;
+}
+
+/** Answers {@linkcode ExplainMessage}. */
+export interface ExplainedMessage {
+  readonly type: "explained";
+  readonly query: number;
+  readonly decisions: readonly ExplainedDecision[];
+}
+
+/** Every message. */
+export type PeerMessage =
+  | HelloMessage
+  | HeartbeatMessage
+  | UpdatesMessage
+  | ManifestMessage
+  | EndpointsMessage
+  | CapacityEventsMessage
+  | CapacityEffectsMessage
+  | ExplainMessage
+  | ExplainedMessage;
--- /dev/null
+++ b/packages/peers/src/peer_mesh.ts
@@ -0,0 +1,196 @@
+/** The links of one entry process: it listens for peers and opens links to those wanted. */
+
+import type * as core from "@peridotvale/core";
+import type * as policy from "@peridotvale/policy";
+import * as ws from "ws";
+import * as codec from "./codec.ts";
+import * as links from "./peer_link.ts";
+import type * as messages from "./messages.ts";
+
+/** A peer that should be linked. */
+export interface PeerTarget {
+  readonly process: core.ProcessId;
+  readonly address: string;
+}
+
+/** What the mesh tells the process. */
+export interface MeshListener {
+  onLinkOpened(link: links.PeerLink): void;
+  onMessage(link: links.PeerLink, message: messages.PeerMessage): void;
+  onLinkLost(process: core.ProcessId, link: links.PeerLink | undefined): void;
+}
+
+/** Options of {@linkcode PeerMesh}. */
+export interface PeerMeshOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly clock: core.Clock;
+  readonly getSelf: () => policy.MemberInfo;
+  readonly listener: MeshListener;
+}
+
+interface OutgoingPeer {
+  readonly target: PeerTarget;
+  link: links.PeerLink | undefined;
+  connectAt: number;
+  failures: number;
+}
+
+const CONNECT_TIMEOUT_MS = 500;
+const FIRST_RETRY_MS = 100;
+const MAX_RETRY_MS = 1_000;
+
+/** Opens, accepts and replaces links. */
+export class PeerMesh {
+  readonly #options: PeerMeshOptions;
+  readonly #outgoing = new Map<core.ProcessId, OutgoingPeer>();
+  readonly #incoming = new Set<links.PeerLink>();
+  readonly traffic: links.LinkTraffic = {
+    sentBytes: 0,
+    sentMessages: 0,
+    receivedBytes: 0,
+    receivedMessages: 0,
+  };
+  #server: ws.WebSocketServer | undefined;
+
+  constructor(options: PeerMeshOptions) {
+    this.#options = options;
+  }
+
+  /** Starts to listen. */
+  start(): Promise<void> {
+    const server = new ws.WebSocketServer({
+      host: this.#options.host,
+      port: this.#options.port,
+      maxPayload: codec.MAX_FRAME_BYTES,
+      perMessageDeflate: false,
+    });
+    this.#server = server;
+    server.on("connection", (socket) => this.#accept(socket));
+    return new Promise((resolve, reject) => {
+      server.once("listening", resolve);
+      server.once("error", reject);
+    });
+  }
+
+  /** Closes every link and stops listening. */
+  stop(): void {
+    this.#server?.close();
+    for (const link of this.getLinks()) link.close();
+    this.#outgoing.clear();
+  }
+
+  /** Keeps links to exactly these peers; opens and closes what differs. */
+  updateTargets(targets: readonly PeerTarget[], now: number): void {
+    const wanted = new Map(targets.map((target) => [target.process, target]));
+    for (const [process, peer] of this.#outgoing) {
+      if (wanted.get(process)?.address === peer.target.address) continue;
+      this.#outgoing.delete(process);
+      peer.link?.close();
+    }
+    for (const target of targets) {
+      if (this.#outgoing.has(target.process)) continue;
+      const peer = { target, link: undefined, connectAt: now, failures: 0 };
+      this.#outgoing.set(target.process, peer);
+    }
+    this.runTick(now);
+  }
+
+  /** Opens links that are due. */
+  runTick(now: number): void {
+    for (const peer of this.#outgoing.values()) {
+      if (peer.link === undefined && now >= peer.connectAt) this.#connect(peer, now);
+    }
+  }
+
+  /** Closes outgoing links that have been silent for longer than `silenceMs`. */
+  closeSilent(silenceMs: number, now: number): void {
+    for (const peer of this.#outgoing.values()) {
+      if (peer.link !== undefined && now - peer.link.heardAt > silenceMs) peer.link.close();
+    }
+  }
+
+  /** The open outgoing link to `process`, if there is one. */
+  getLink(process: core.ProcessId): links.PeerLink | undefined {
+    const link = this.#outgoing.get(process)?.link;
+    return link?.isOpen() && link.peer !== undefined ? link : undefined;
+  }
+
+  /** Peers to which links are kept. */
+  getTargets(): core.ProcessId[] {
+    return [...this.#outgoing.keys()];
+  }
+
+  /** Open links in both directions. */
+  getLinks(): links.PeerLink[] {
+    const open = [...this.#incoming];
+    for (const peer of this.#outgoing.values()) {
+      if (peer.link !== undefined) open.push(peer.link);
+    }
+    return open;
+  }
+
+  /** Open links that this process keeps, the ones it sends heartbeats on. */
+  getOutgoingLinks(): links.PeerLink[] {
+    const open: links.PeerLink[] = [];
+    for (const peer of this.#outgoing.values()) {
+      if (peer.link?.peer !== undefined) open.push(peer.link);
+    }
+    return open;
+  }
+
+  #accept(socket: ws.WebSocket): void {
+    const link = this.#createLink(socket, false);
+    this.#incoming.add(link);
+    link.send({ type: "hello", info: this.#options.getSelf() });
+  }
+
+  #connect(peer: OutgoingPeer, now: number): void {
+    const socket = new ws.WebSocket(`ws://${peer.target.address}`, {
+      handshakeTimeout: CONNECT_TIMEOUT_MS,
+      maxPayload: codec.MAX_FRAME_BYTES,
+      perMessageDeflate: false,
+    });
+    const delayMs = Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** peer.failures);
+    peer.connectAt = now + delayMs;
+    peer.failures += 1;
+    const link = this.#createLink(socket, true);
+    peer.link = link;
+    socket.on("open", () => link.send({ type: "hello", info: this.#options.getSelf() }));
+  }
+
+  #createLink(socket: ws.WebSocket, outgoing: boolean): links.PeerLink {
+    return new links.PeerLink(socket, {
+      outgoing,
+      traffic: this.traffic,
+      clock: this.#options.clock,
+      listener: {
+        onMessage: (link, message) => this.#applyMessage(link, message),
+        onClosed: (link) => this.#removeLink(link),
+      },
+    });
+  }
+
+  #applyMessage(link: links.PeerLink, message: messages.PeerMessage): void {
+    if (message.type === "hello") {
+      const peer = this.#outgoing.get(message.info.process);
+      if (peer?.link === link) peer.failures = 0;
+      this.#options.listener.onLinkOpened(link);
+      return;
+    }
+    this.#options.listener.onMessage(link, message);
+  }
+
+  #removeLink(link: links.PeerLink): void {
+    this.#incoming.delete(link);
+    for (const [process, peer] of this.#outgoing) {
+      if (peer.link !== link) continue;
+      peer.link = undefined;
+      this.#options.listener.onLinkLost(process, link);
+      return;
+    }
+    if (link.peer !== undefined && !link.outgoing) {
+      this.#options.listener.onLinkLost(link.peer.process, link);
+    }
+  }
+}
--- a/packages/policy/src/endpoint_table.ts
+++ b/packages/policy/src/endpoint_table.ts
@@ -29,30 +29,38 @@
 export class EndpointTable {
   readonly #records = new Map<core.EndpointId, EndpointRecord>();
 
-  /** Applies a new VM list; returns endpoints that are gone. A wholly empty list is ignored. */
-  applyList(listed: readonly ListedEndpoint[]): core.EndpointId[] {
+  /**
+   * Applies a VM list that was read: endpoints that it lacks are forgotten. A
+   * wholly empty list is ignored. Returns what is new or leaving.
+   */
+  applyList(listed: readonly ListedEndpoint[]): ListedEndpoint[] {
     if (listed.length === 0) return [];
+    const news = this.applyNews(listed);
     const present = new Set<core.EndpointId>();
     for (const entry of listed) {
       present.add(entry.endpoint);
-      const record = this.#records.get(entry.endpoint);
-      if (record !== undefined) {
-        record.listed = entry;
-        continue;
-      }
-      this.#records.set(entry.endpoint, {
-        listed: entry,
-        announcedLeaving: false,
-        failures: 0,
-        blockedUntil: -Infinity,
-      });
+      this.#records.get(entry.endpoint)!.listed = entry;
+    }
+    for (const endpoint of [...this.#records.keys()]) {
+      if (!present.has(endpoint)) this.#records.delete(endpoint);
     }
-    const gone: core.EndpointId[] = [];
-    for (const endpoint of this.#records.keys()) {
-      if (!present.has(endpoint)) gone.push(endpoint);
+    return news;
+  }
+
+  /**
+   * Applies what a peer's list says: new endpoints and those that leave.
+   * Returns what was news, to be passed on.
+   */
+  applyNews(endpoints: readonly ListedEndpoint[]): ListedEndpoint[] {
+    const news: ListedEndpoint[] = [];
+    for (const entry of endpoints) {
+      const record = this.#records.get(entry.endpoint);
+      if (record === undefined) this.#records.set(entry.endpoint, createRecord(entry));
+      else if (entry.leaving && !record.listed.leaving) record.listed = entry;
+      else continue;
+      news.push(entry);
     }
-    for (const endpoint of gone) this.#records.delete(endpoint);
-    return gone;
+    return news;
   }
 
   /** Records what the endpoint says of itself. */
@@ -89,6 +97,17 @@
     return now >= record.blockedUntil;
   }
 
+  /** Whether the VM list or the endpoint itself says that it leaves. */
+  isLeaving(endpoint: core.EndpointId): boolean {
+    const record = this.#records.get(endpoint);
+    return record === undefined || record.listed.leaving || record.announcedLeaving;
+  }
+
+  /** Every endpoint. */
+  getAll(): ListedEndpoint[] {
+    return [...this.#records.values()].map((record) => record.listed);
+  }
+
   /** Endpoints of a role. */
   getEndpoints(role: ListedEndpoint["role"]): ListedEndpoint[] {
     const found: ListedEndpoint[] = [];
@@ -98,3 +117,7 @@
     return found;
   }
 }
+
+function createRecord(listed: ListedEndpoint): EndpointRecord {
+  return { listed, announcedLeaving: false, failures: 0, blockedUntil: -Infinity };
+}
--- a/packages/policy/src/length_predictor.ts
+++ b/packages/policy/src/length_predictor.ts
@@ -164,9 +164,7 @@
   let survival = 1;
   for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
     table.survival[bucket] = survival;
-    const prior = coarser === undefined
-      ? PRIOR_HAZARD
-      : getHazard(coarser, bucket, PRIOR_HAZARD);
+    const prior = coarser === undefined ? PRIOR_HAZARD : getHazard(coarser, bucket, PRIOR_HAZARD);
     survival *= 1 - getHazard(table, bucket, prior);
   }
   table.survival[BUCKET_COUNT] = survival;
--- a/packages/policy/src/manifest_register.ts
+++ b/packages/policy/src/manifest_register.ts
@@ -43,9 +43,7 @@
     if (current !== undefined) {
       if (record.release < current.release) return "stale";
       if (record.release === current.release) {
-        return record.submission === current.submission
-          ? "same"
-          : "conflicting";
+        return record.submission === current.submission ? "same" : "conflicting";
       }
     }
     this.#record = record;
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -34,12 +34,6 @@
   saturatedAt: number;
 }
 
-/** Options of a scheduler. */
-export interface SchedulerOptions {
-  /** Share of each engine's capacity that this scheduler may use, 0 to 1. */
-  readonly capacityShare: number;
-}
-
 const GRANT_RATE_WINDOW_MS = 10_000;
 /** Time after running out of capacity in which grant rates count as the whole capacity. */
 const SATURATION_MEMORY_MS = 2_000;
@@ -53,22 +47,21 @@
 const PROMPT_TOKEN_COST = 0.05;
 const MIN_RETRY_AFTER_MS = 1_000;
 const MAX_IDLE_WORKSPACES = 4_096;
+/** Adopted streams that wait for their engine. */
+const MAX_ORPHANS = 20_000;
 
 /** The scheduler of the engines that one process owns. */
 export class Scheduler implements types.CapacityScheduler {
-  readonly #capacityShare: number;
   readonly #engines = new Map<core.EndpointId, engines.EngineState>();
   readonly #models = new Map<core.ModelName, ModelState>();
   readonly #streams = new Map<core.RequestId, engines.EngineState>();
   readonly #queued = new Map<core.RequestId, QueuedRequest>();
+  /** Adopted streams whose engine is not known yet. */
+  readonly #orphans = new Map<core.RequestId, types.AdoptedStream>();
   readonly #predictor = new lengths.LengthPredictor();
   #manifest: core.Manifest | undefined;
   #effects: types.SchedulerEffect[] = [];
 
-  constructor(options: SchedulerOptions = { capacityShare: 1 }) {
-    this.#capacityShare = options.capacityShare;
-  }
-
   /** Number of requests that wait. */
   get queuedCount(): number {
     return this.#queued.size;
@@ -140,18 +133,19 @@
   }
 
   #updateEngine(info: types.EngineInfo, now: number): void {
-    const scaled = {
-      ...info,
-      memoryLimitTokens: info.memoryLimitTokens * this.#capacityShare,
-      maxBatch: Math.max(1, Math.floor(info.maxBatch * this.#capacityShare)),
-    };
     const known = this.#engines.get(info.endpoint);
-    if (known === undefined) {
-      this.#engines.set(info.endpoint, new engines.EngineState(scaled));
-    } else known.info = scaled;
+    if (known === undefined) this.#addEngine(info, now);
+    else known.info = info;
     this.#grantAll(now);
   }
 
+  #addEngine(info: types.EngineInfo, now: number): void {
+    this.#engines.set(info.endpoint, new engines.EngineState(info));
+    for (const stream of this.#orphans.values()) {
+      if (stream.endpoint === info.endpoint) this.#adoptStream(stream, now);
+    }
+  }
+
   /** Streams of the engine stay known to their fronts, which end or move them. */
   #removeEngine(endpoint: core.EndpointId): void {
     const engine = this.#engines.get(endpoint);
@@ -204,7 +198,12 @@
   #adoptStream(adopted: types.AdoptedStream, now: number): void {
     const engine = this.#engines.get(adopted.endpoint);
     const request = adopted.capacity.request;
-    if (engine === undefined || this.#streams.has(request)) return;
+    if (this.#streams.has(request)) return;
+    if (engine === undefined) {
+      if (this.#orphans.size < MAX_ORPHANS) this.#orphans.set(request, adopted);
+      return;
+    }
+    this.#orphans.delete(request);
     this.#openStream(engine, adopted.capacity, now);
     engine.streams.get(request)!.emittedTokens = adopted.emittedTokens;
   }
@@ -224,6 +223,7 @@
   }
 
   #endRequest(request: core.RequestId, ended: boolean, now: number): void {
+    this.#orphans.delete(request);
     const queued = this.#queued.get(request);
     if (queued !== undefined) {
       const model = this.#getModel(queued.capacity.model);
@@ -514,9 +514,7 @@
   avoid: readonly core.EndpointId[],
 ): engines.EngineState[] {
   if (avoid.length === 0) return candidates;
-  const fresh = candidates.filter((engine) =>
-    !avoid.includes(engine.info.endpoint)
-  );
+  const fresh = candidates.filter((engine) => !avoid.includes(engine.info.endpoint));
   return fresh.length > 0 ? fresh : candidates;
 }
 
--- a/packages/standins/src/engine_standin.ts
+++ b/packages/standins/src/engine_standin.ts
@@ -111,7 +111,8 @@
   readonly #ledger: EngineLedgerEntry[] = [];
   readonly #orders: OrderLedgerEntry[] = [];
   #loaded: LoadedModel[];
-  #accepting = true;
+  #isLeaving = false;
+  #role = "serving";
   #fencing = 0;
   #faults: EngineFaults = {};
   #report: unknown;
@@ -155,7 +156,7 @@
 
   /** Announces that the engine leaves: no new work. */
   startLeaving(): void {
-    this.#accepting = false;
+    this.#isLeaving = true;
   }
 
   /** Generations that are not finished. */
@@ -182,7 +183,8 @@
     if (path === "/status") {
       return plain.sendJson(response, 200, {
         ...this.#report as object,
-        accepting: this.#accepting,
+        accepting: this.#isAccepting(),
+        role: this.#role,
       });
     }
     if (path === "/orders") return this.#applyOrder(request, response);
@@ -208,18 +210,14 @@
   ): void {
     const body = JSON.parse(request.body) as GenerationBody;
     const loaded = this.#loaded.find((entry) => entry.model === body.model);
-    if (!this.#accepting || loaded?.state !== "ready") {
-      const message = this.#accepting ? "model is not loaded" : "leaving";
+    if (!this.#isAccepting() || loaded?.state !== "ready") {
+      const message = this.#isAccepting() ? "model is not loaded" : "not accepting";
       return plain.sendJson(response, 503, { message });
     }
-    const lines = (body.messages ?? []).map((line) =>
-      `${line.role}: ${line.content}`
-    );
+    const lines = (body.messages ?? []).map((line) => `${line.role}: ${line.content}`);
     const prompt = body.prompt ?? lines.join("\n");
     this.#nextId += 1;
-    const id = `g${this.#nextId}-${this.#options.port}-${
-      Math.floor(performance.timeOrigin) % 1e6
-    }`;
+    const id = `g${this.#nextId}-${this.#options.port}-${Math.floor(performance.timeOrigin) % 1e6}`;
     const attempt = String(request.headers["x-request-id"] ?? "");
     const entry = {
       attempt,
@@ -276,9 +274,7 @@
       return plain.sendJson(response, 200, {});
     }
     const last = request.headers["last-event-id"];
-    const next = last === undefined
-      ? 0
-      : Number(String(last).split(":")[1]) + 1;
+    const next = last === undefined ? 0 : Number(String(last).split(":")[1]) + 1;
     const attempt = String(request.headers["x-request-id"] ?? "");
     generation.reader?.response.destroy();
     this.#attach(generation, response, { attempt, next });
@@ -378,12 +374,8 @@
     text: string,
     options: { readonly usage?: { readonly prompt_tokens: number } },
   ): string {
-    const finish_reason = options.usage === undefined
-      ? null
-      : generation.finish;
-    const content = generation.kind === "chat"
-      ? { delta: { content: text } }
-      : { text };
+    const finish_reason = options.usage === undefined ? null : generation.finish;
+    const content = generation.kind === "chat" ? { delta: { content: text } } : { text };
     const choices = [{ index: 0, ...content, finish_reason }];
     const data = JSON.stringify({
       id: generation.id,
@@ -402,9 +394,7 @@
         attempt: generation.entry.attempt,
         tokens: generation.tokens.length,
         attached: generation.reader !== undefined,
-        detachedMs: generation.reader
-          ? 0
-          : performance.now() - generation.detachedAt,
+        detachedMs: generation.reader ? 0 : performance.now() - generation.detachedAt,
       });
     }
     return listed;
@@ -428,9 +418,7 @@
       return plain.sendJson(response, 409, { message: "old fencing number" });
     }
     if (order.type === "unload_model" || order.type === "load_model") {
-      this.#loaded = this.#loaded.filter((entry) =>
-        entry.model !== order.model
-      );
+      this.#loaded = this.#loaded.filter((entry) => entry.model !== order.model);
     }
     if (order.type === "load_model") {
       const entry: LoadedModel = {
@@ -442,10 +430,14 @@
       this.#loaded.push(entry);
       setTimeout(() => entry.state = "ready", this.#options.loadMs);
     }
-    if (order.type === "set_role") this.#accepting = order.role === "serving";
+    if (order.type === "set_role") this.#role = order.role!;
     plain.sendJson(response, 200, {});
   }
 
+  #isAccepting(): boolean {
+    return !this.#isLeaving && this.#role === "serving";
+  }
+
   #createReport() {
     return {
       models: this.#loaded.map((entry) => ({ ...entry })),
--- a/packages/standins/src/platform_standin.ts
+++ b/packages/standins/src/platform_standin.ts
@@ -196,17 +196,13 @@
   }
 
   #applyTransaction(body: Body): unknown {
-    const succeeded = (body.compare ?? []).every((compare) =>
-      this.#isMet(compare)
-    );
+    const succeeded = (body.compare ?? []).every((compare) => this.#isMet(compare));
     const operations = (succeeded ? body.success : body.failure) ?? [];
     const isWrite = (body.success ?? []).some(isChange);
     if (isWrite) this.#counts.writes += 1;
     else this.#counts.reads += 1;
     if (operations.some(isChange)) this.#revision += 1;
-    const responses = operations.map((operation) =>
-      this.#applyOperation(operation)
-    );
+    const responses = operations.map((operation) => this.#applyOperation(operation));
     return { header: this.#createHeader(), succeeded, responses };
   }
 
--- a/packages/standins/src/test_bed.ts
+++ b/packages/standins/src/test_bed.ts
@@ -136,9 +136,7 @@
 callers: { host: ${HOST}, port: 0 }
 operators: { host: ${HOST}, port: 0 }
 peers: { host: ${HOST}, port: ${peers.split(":")[1]} }
-platform: { url: "http://${
-      options.platform ?? this.#platform
-    }", timeout_ms: 500 }
+platform: { url: "http://${options.platform ?? this.#platform}", timeout_ms: 500 }
 cursor_secret: a-secret-for-tests-only
 ${options.extra ?? ""}`;
     const file = path.join(this.#folder, `${name.replaceAll("/", "-")}.yaml`);
@@ -157,9 +155,7 @@
       [ENTRY_MAIN, "--settings", file],
       /event=process_started/,
     );
-    const line = started.lines.find((text) =>
-      text.includes("event=process_started")
-    )!;
+    const line = started.lines.find((text) => text.includes("event=process_started"))!;
     const operators = /operators=(\S+)/.exec(line)![1]!;
     return { ...started, process: name, zone, operators, peers };
   }
@@ -179,9 +175,7 @@
     let stderr = "";
     child.stdout.on("data", (data) => stdout += data);
     child.stderr.on("data", (data) => stderr += data);
-    const code = await new Promise<number | null>((resolve) =>
-      child.once("close", resolve)
-    );
+    const code = await new Promise<number | null>((resolve) => child.once("close", resolve));
     return { code, stdout, stderr };
   }
 
@@ -199,9 +193,7 @@
   ): Promise<void> {
     const release = Number(/^release: (\d+)/m.exec(text)![1]);
     const answer = await undici.request(
-      `http://${entry.operators}/manifest?base=${
-        release - 1
-      }&submission=test-${release}`,
+      `http://${entry.operators}/manifest?base=${release - 1}&submission=test-${release}`,
       { method: "POST", body: text },
     );
     const body = await answer.body.text();
@@ -255,9 +247,7 @@
       stdio: ["ignore", "pipe", "pipe"],
     });
     const lines: string[] = [];
-    const exited = new Promise<number | null>((resolve) =>
-      child.once("exit", resolve)
-    );
+    const exited = new Promise<number | null>((resolve) => child.once("exit", resolve));
     return new Promise((resolve, reject) => {
       const timer = setTimeout(
         () =>
--- a/packages/standins/src/thin_path_test.ts
+++ b/packages/standins/src/thin_path_test.ts
@@ -18,8 +18,7 @@
     const prompt = "net for a melon field [len=20]";
     const expected = Array.from(
       { length: 20 },
-      (_, index) =>
-        models.createTokenText({ prompt, seed: 7, version: "v1" }, index),
+      (_, index) => models.createTokenText({ prompt, seed: 7, version: "v1" }, index),
     );
 
     await testBed.waitUntil(async () => {
