Add the policy bench in virtual time

Cause: the decisions had not been measured. Change: two shapes, seeded loads, an engine model, baselines, and the scheduler in three arrangements plus an oracle that knows all lengths.

--- /dev/null
+++ b/packages/bench/src/cases.ts
@@ -0,0 +1,107 @@
+/** The cases of the policy bench. */
+
+import * as core from "@peridotvale/core";
+import type * as dispatchers from "./dispatchers.ts";
+import type * as simulation from "./simulation.ts";
+import * as workload from "./workload.ts";
+
+/** One case; its load is in shares of the shape's capacity. */
+export interface BenchCase {
+  readonly name: string;
+  readonly load: workload.BenchLoad;
+  readonly engineFaults?: readonly simulation.EngineFault[];
+  readonly ownerFault?: dispatchers.OwnerFault;
+  readonly reportLagMs?: number;
+}
+
+const STEADY_MS = 40_000;
+const FAULT_MS = 30_000;
+const EVEN = [1, 1, 1, 1, 1, 1, 1, 1, 1, 1];
+/** A few workspaces are large. */
+const TYPICAL = [4, 3, 2, 1, 1, 1, 1, 1, 1, 1];
+const FAULT_AT_MS = 10_000;
+
+/** The manifest of every case: urgent work, and other work with a floor of a tenth. */
+export const BENCH_MANIFEST = parseBenchManifest();
+
+/** Every case. */
+export const BENCH_CASES: readonly BenchCase[] = [
+  { name: "steady", load: createLoad(0.32, 0.48, { durationMs: STEADY_MS, rates: TYPICAL }) },
+  { name: "flood_patient_5x", load: createLoad(0.5, 5) },
+  { name: "flood_urgent_2x", load: createLoad(2, 0.5) },
+  { name: "flood_urgent_5x", load: createLoad(5, 0.5) },
+  { name: "flood_urgent_20x", load: createLoad(20, 0.5, { durationMs: 12_000 }) },
+  { name: "small_alone", load: createLoad(0.1, 0.1, { rates: EVEN }) },
+  { name: "one_large", load: createLoad(0.9, 0.9, { rates: [10, 1, 1, 1, 1, 1, 1, 1, 1, 1] }) },
+  {
+    name: "three_large",
+    load: createLoad(1.5, 1.5, { rates: [10, 10, 10, 1, 1, 1, 1, 1, 1, 1] }),
+  },
+  {
+    name: "length_shift_8x",
+    load: {
+      ...createLoad(0.1, 0.15, { durationMs: 90_000 }),
+      shiftAtMs: 30_000,
+      shiftFactor: 8,
+    },
+  },
+  { name: "fault_none", load: createLoad(0.28, 0.42) },
+  {
+    name: "engine_dies",
+    load: createLoad(0.28, 0.42),
+    engineFaults: [{ type: "die", engine: 3, atMs: FAULT_AT_MS }],
+  },
+  {
+    name: "engine_reclaimed",
+    load: createLoad(0.28, 0.42),
+    engineFaults: [{ type: "reclaim", engine: 3, atMs: FAULT_AT_MS, noticeMs: 3_000 }],
+  },
+  {
+    name: "engine_slows_4x",
+    load: createLoad(0.28, 0.42),
+    engineFaults: [{ type: "slow", engine: 3, atMs: FAULT_AT_MS, untilMs: 20_000, factor: 4 }],
+  },
+  {
+    name: "owner_dies",
+    load: createLoad(0.28, 0.42),
+    ownerFault: { type: "owner_dies", atMs: FAULT_AT_MS, takeoverMs: 3_500 },
+  },
+  {
+    name: "two_owners",
+    load: createLoad(0.28, 0.42),
+    ownerFault: { type: "two_owners", atMs: FAULT_AT_MS, untilMs: 20_000 },
+  },
+  { name: "reports_5s_late", load: createLoad(0.28, 0.42), reportLagMs: 5_000 },
+];
+
+function createLoad(
+  urgent: number,
+  patient: number,
+  options: { readonly durationMs?: number; readonly rates?: readonly number[] } = {},
+): workload.BenchLoad {
+  return {
+    durationMs: options.durationMs ?? FAULT_MS,
+    workspaceRates: options.rates ?? TYPICAL,
+    ranks: [
+      { rank: workload.URGENT, load: urgent, median: 60, sigma: 1 },
+      { rank: workload.PATIENT, load: patient, median: 150, sigma: 1.3 },
+    ],
+  };
+}
+
+function parseBenchManifest(): core.Manifest {
+  const workspaces = Array.from({ length: 10 }, (_, index) => `  w${index}: {}`).join("\n");
+  const text = `release: 1
+models:
+  layout-7b: { version: v1, replicas: 8, max_output_tokens: ${workload.MAX_TOKENS} }
+ranks:
+  urgent: { order: 0, first_token_ms: 1000, between_tokens_ms: 35, deadline_ms: 600000 }
+  patient: { order: 1, first_token_ms: 20000, between_tokens_ms: 70, deadline_ms: 3600000, floor: 0.1 }
+default_rank: urgent
+workspaces:
+${workspaces}
+`;
+  const parsed = core.parseManifest(text, { source: "bench" });
+  core.assertInvariant(parsed.isOk(), "the bench manifest is valid");
+  return parsed.value;
+}
--- /dev/null
+++ b/packages/bench/src/mod.ts
@@ -0,0 +1,2 @@
+/** Benches. */
+export * from "./policy_bench.ts";
--- /dev/null
+++ b/packages/bench/src/policy_bench.ts
@@ -0,0 +1,85 @@
+/** Runs the policy bench and prints its tables. */
+
+import * as cases from "./cases.ts";
+import * as dispatchers from "./dispatchers.ts";
+import * as results from "./results.ts";
+import * as simulation from "./simulation.ts";
+import * as workload from "./workload.ts";
+
+/** Ways that are compared in every case. */
+export const WAYS = [
+  "owner",
+  "oracle",
+  "global",
+  "alone",
+  "round_robin",
+  "least_in_flight",
+  "two_choices",
+] as const;
+
+/** One way. */
+export type Way = (typeof WAYS)[number];
+
+/** Seed of the published tables. */
+export const BENCH_SEED = 20_261_204;
+
+/** Runs one case in one way. */
+export function runCase(
+  benchCase: cases.BenchCase,
+  way: Way,
+  options: { readonly shape: workload.BenchShape; readonly seed: number },
+): results.CaseResult {
+  return simulation.runSimulation({
+    shape: options.shape,
+    load: benchCase.load,
+    manifest: cases.BENCH_MANIFEST,
+    seed: options.seed,
+    ...(benchCase.engineFaults ? { engineFaults: benchCase.engineFaults } : {}),
+    ...(benchCase.reportLagMs ? { reportLagMs: benchCase.reportLagMs } : {}),
+  }, createDispatcher(benchCase, way, options.seed));
+}
+
+/** Formats the results of one case as a table, one way a line. */
+export function formatCase(rows: ReadonlyMap<Way, results.CaseResult>): string {
+  const head = "way              useful tok/s  tok/s  urgent on time  first p95  gap p95  " +
+    "refused  patient on time  patient tok%  stall s  preempt";
+  const lines = [...rows].map(([way, result]) => {
+    const urgent = result.ranks.get("urgent");
+    const patient = result.ranks.get("patient");
+    const seconds = result.durationMs / 1000;
+    return [
+      way.padEnd(16),
+      (result.total.usefulTokens / seconds).toFixed(0).padStart(12),
+      (result.total.tokens / seconds).toFixed(0).padStart(6),
+      ((urgent?.onTimeShare ?? 0) * 100).toFixed(1).padStart(14),
+      (urgent?.firstTokenP95Ms ?? 0).toFixed(0).padStart(10),
+      (urgent?.betweenTokensP95Ms ?? 0).toFixed(1).padStart(8),
+      String(urgent?.refused ?? 0).padStart(8),
+      ((patient?.onTimeShare ?? 0) * 100).toFixed(1).padStart(16),
+      ((patient?.tokens ?? 0) / Math.max(1, result.total.tokens) * 100).toFixed(1).padStart(13),
+      result.total.stallSeconds.toFixed(1).padStart(8),
+      String(result.preemptions).padStart(8),
+    ].join(" ");
+  });
+  return [head, ...lines].join("\n");
+}
+
+function createDispatcher(
+  benchCase: cases.BenchCase,
+  way: Way,
+  seed: number,
+): simulation.Dispatcher {
+  const fault = benchCase.ownerFault ? { ownerFault: benchCase.ownerFault } : {};
+  switch (way) {
+    case "owner":
+      return new dispatchers.SchedulerDispatcher({ arrangement: "owner_per_zone", ...fault });
+    case "oracle":
+      return new dispatchers.SchedulerDispatcher({ arrangement: "owner_per_zone", oracle: true });
+    case "global":
+      return new dispatchers.SchedulerDispatcher({ arrangement: "global" });
+    case "alone":
+      return new dispatchers.SchedulerDispatcher({ arrangement: "front_alone" });
+    default:
+      return new dispatchers.BaselineDispatcher(way, seed);
+  }
+}
--- a/packages/policy/src/engine_state.ts
+++ b/packages/policy/src/engine_state.ts
@@ -67,7 +67,7 @@
   }
 
   /** Computes the forecast anew if it is old. */
-  updateForecast(predictor: lengths.LengthPredictor, now: number): void {
+  updateForecast(predictor: lengths.LengthModel, now: number): void {
     if (now - this.#forecastAt < FORECAST_MAX_AGE_MS) return;
     this.#forecastAt = now;
     this.#forecast = new forecasts.MemoryForecast();
--- a/packages/policy/src/length_predictor.ts
+++ b/packages/policy/src/length_predictor.ts
@@ -34,6 +34,16 @@
   readonly workspace: core.WorkspaceName;
 }
 
+/** Learns and predicts lengths. */
+export interface LengthModel {
+  /** Records that a generation went from `from` to `to` tokens without ending. */
+  recordProgress(key: LengthKey, from: number, options: { readonly to: number }): void;
+  /** Records that a generation ended by itself at `length` tokens. */
+  recordEnd(key: LengthKey, length: number): void;
+  /** The survival curve of `key`. */
+  getSurvival(key: LengthKey): Survival;
+}
+
 /** Survival of one key's generations. */
 export interface Survival {
   /** Probability that a generation which has `emitted` tokens lasts `more` tokens longer. */
@@ -42,17 +52,12 @@
   computeQuantile(emitted: number, share: number): number;
 }
 
-/** Learns lengths per workspace and model. */
-export class LengthPredictor {
+/** Learns lengths per workspace and model from what it has seen. */
+export class LengthPredictor implements LengthModel {
   readonly #models = new Map<core.ModelName, HazardTable>();
   readonly #workspaces = new Map<string, HazardTable>();
 
-  /** Records that a generation went from `from` to `to` tokens without ending. */
-  recordProgress(
-    key: LengthKey,
-    from: number,
-    options: { readonly to: number },
-  ): void {
+  recordProgress(key: LengthKey, from: number, options: { readonly to: number }): void {
     const first = getBucket(from);
     const last = getBucket(options.to);
     if (first === last) return;
@@ -63,14 +68,12 @@
     }
   }
 
-  /** Records that a generation ended by itself at `length` tokens. */
   recordEnd(key: LengthKey, length: number): void {
     for (const table of this.#getTables(key)) {
       recordExposure(table, getBucket(length), 1);
     }
   }
 
-  /** The survival curve of `key`; refreshed at each call. */
   getSurvival(key: LengthKey): Survival {
     const [model, workspace] = this.#getTables(key);
     if (model.dirty) updateSurvival(model, undefined);
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -34,6 +34,12 @@
   saturatedAt: number;
 }
 
+/** Options of a scheduler. */
+export interface SchedulerOptions {
+  /** Predicts lengths; by default learned from what is seen. */
+  readonly lengths?: lengths.LengthModel;
+}
+
 const GRANT_RATE_WINDOW_MS = 10_000;
 /** Time after running out of capacity in which grant rates count as the whole capacity. */
 const SATURATION_MEMORY_MS = 2_000;
@@ -58,10 +64,14 @@
   readonly #queued = new Map<core.RequestId, QueuedRequest>();
   /** Adopted streams whose engine is not known yet. */
   readonly #orphans = new Map<core.RequestId, types.AdoptedStream>();
-  readonly #predictor = new lengths.LengthPredictor();
+  readonly #predictor: lengths.LengthModel;
   #manifest: core.Manifest | undefined;
   #effects: types.SchedulerEffect[] = [];
 
+  constructor(options: SchedulerOptions = {}) {
+    this.#predictor = options.lengths ?? new lengths.LengthPredictor();
+  }
+
   /** Number of requests that wait. */
   get queuedCount(): number {
     return this.#queued.size;
--- a/packages/standins/src/engine_model.ts
+++ b/packages/standins/src/engine_model.ts
@@ -55,6 +55,7 @@
   /** Prompt and emitted tokens that are still to be processed. */
   prefillLeft: number;
   held: number;
+  running: boolean;
 }
 
 /** Prompt tokens that one step processes at most. */
@@ -104,7 +105,7 @@
 
   /** Queues a generation; more urgent ones go first. */
   addRequest(request: ModelRequest): void {
-    this.#enqueue({ request, emitted: 0, prefillLeft: 0, held: 0 });
+    this.#enqueue({ request, emitted: 0, prefillLeft: 0, held: 0, running: false });
   }
 
   /** Drops a generation. */
@@ -123,7 +124,7 @@
     this.#admit();
     const prefilled = this.#processPrompts();
     for (const stream of [...this.#running]) {
-      if (stream.prefillLeft > 0 || !this.#running.includes(stream)) continue;
+      if (stream.prefillLeft > 0 || !stream.running) continue;
       if (!this.#makeRoom(stream, events)) continue;
       this.#generateToken(stream, events);
     }
@@ -156,6 +157,7 @@
       stream.held = needed;
       this.#memoryUsed += needed;
       stream.prefillLeft = needed - this.#countCached(stream.request);
+      stream.running = true;
       this.#running.push(stream);
     }
   }
@@ -183,6 +185,7 @@
       this.#running.splice(this.#running.indexOf(victim), 1);
       this.#memoryUsed -= victim.held;
       victim.held = 0;
+      victim.running = false;
       this.#preemptions += 1;
       this.#enqueue(victim);
       events.push({ type: "preempted", id: victim.request.id });
