Raise the prior hazard of ending with the length

Cause: with a flat prior hazard of 0.12 per half octave the forecast expected 3 in 100 generations to pass 16,000 tokens, and kept two standard deviations of that free, so the owner refused work at 80% load that the oracle served. Ruled out: too little pooling inside a zone (the oracle serves all of it). Change: the prior hazard rises by 0.015 a bucket; deviations kept free fall with the horizon, since admission can still react far ahead.

--- a/packages/bench/src/dispatchers.ts
+++ b/packages/bench/src/dispatchers.ts
@@ -276,7 +276,8 @@
     queue.schedule(queue.now + takeoverMs, () => {
       const successor = this.#createSlot(owner.zone, 1);
       this.#routes = this.#routes.map((route) =>
-        route.map((slot) => fallbacks.includes(slot) ? successor : slot));
+        route.map((slot) => fallbacks.includes(slot) ? successor : slot)
+      );
       for (const open of this.#open.values()) {
         if (open.slot === owner || fallbacks.includes(open.slot)) this.#move(open, successor);
       }
--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -204,8 +204,10 @@
       engine.alive = false;
       for (const run of this.#runs.values()) {
         if (run.state === "open" && run.engine === engine.info.id) {
-          this.queue.schedule(this.queue.now + LOSS_NOTICE_MS, () =>
-            this.#lose(run, engine.info.id));
+          this.queue.schedule(
+            this.queue.now + LOSS_NOTICE_MS,
+            () => this.#lose(run, engine.info.id),
+          );
         }
       }
     };
--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -14,6 +14,8 @@
 export interface BenchShape {
   readonly name: string;
   readonly engines: readonly BenchEngine[];
+  /** Tokens a second that the engines serve in time when more is asked for. */
+  readonly capacity: number;
   /** Availability zone of each entry process. */
   readonly fronts: readonly core.ZoneName[];
   readonly workspaces: readonly core.WorkspaceName[];
@@ -64,33 +66,22 @@
 const PROMPT_SIGMA = 0.7;
 const MAX_PROMPT = 6_000;
 const PREFIX_BLOCK_TOKENS = 64;
-const TOKEN_TARGET_MS = 35;
 
 /** Kitamura: three zones, eight engines of 1 to 4 times speed, seven entry processes. */
 export function createKitamura(): BenchShape {
   const zones = ["asahikawa", "furano", "nayoro"];
   const speeds = [1, 1, 1.5, 2, 2, 3, 4, 4];
-  return createShape("kitamura", zones, { speeds, fronts: 7 });
+  return createShape("kitamura", zones, { speeds, fronts: 7, capacity: 16_400 });
 }
 
 /** Sparkbank: four zones, six engines. */
 export function createSparkbank(): BenchShape {
   const zones = ["brisbane", "gold-coast", "townsville", "cairns"];
-  return createShape("sparkbank", zones, { speeds: [1, 1.5, 2, 2, 3, 4], fronts: 6 });
-}
-
-/** Tokens a second that the engines serve within the target between tokens. */
-export function computeCapacity(shape: BenchShape, load: BenchLoad): number {
-  const held = computeMeanHeld(load);
-  const promptShare = computePromptShare(load);
-  let total = 0;
-  for (const { parameters } of shape.engines) {
-    const { baseMs, perStreamMs, prefillMs, maxBatch, memoryTokens } = parameters;
-    const bySpeed = (TOKEN_TARGET_MS - baseMs) / (perStreamMs + prefillMs * promptShare);
-    const batch = Math.min(maxBatch, bySpeed, memoryTokens * 0.9 / held);
-    total += batch / (baseMs + batch * (perStreamMs + prefillMs * promptShare)) * 1000;
-  }
-  return total;
+  return createShape("sparkbank", zones, {
+    speeds: [1, 1.5, 2, 2, 3, 4],
+    fronts: 6,
+    capacity: 12_400,
+  });
 }
 
 /** Creates the requests of a case. */
@@ -100,11 +91,10 @@
   options: { readonly seed: number },
 ): BenchRequest[] {
   const random = new core.SeededRandom(options.seed);
-  const capacity = computeCapacity(shape, load);
   const requests: BenchRequest[] = [];
   for (const rank of load.ranks) {
     const meanTokens = computeMean(rank.median, rank.sigma);
-    const ratePerMs = capacity * rank.load / meanTokens / 1000;
+    const ratePerMs = shape.capacity * rank.load / meanTokens / 1000;
     if (ratePerMs <= 0) continue;
     let at = 0;
     while (true) {
@@ -153,7 +143,11 @@
 function createShape(
   name: string,
   zones: readonly string[],
-  options: { readonly speeds: readonly number[]; readonly fronts: number },
+  options: {
+    readonly speeds: readonly number[];
+    readonly fronts: number;
+    readonly capacity: number;
+  },
 ): BenchShape {
   const zoneNames = zones.map((zone) => core.createId<core.ZoneName>(zone));
   const engines = options.speeds.map((speed, index) => ({
@@ -171,10 +165,15 @@
   return {
     name,
     engines,
-    fronts: Array.from({ length: options.fronts }, (_, index) =>
-      zoneNames[index % zoneNames.length]!),
-    workspaces: Array.from({ length: 10 }, (_, index) =>
-      core.createId<core.WorkspaceName>(`w${index}`)),
+    capacity: options.capacity,
+    fronts: Array.from(
+      { length: options.fronts },
+      (_, index) => zoneNames[index % zoneNames.length]!,
+    ),
+    workspaces: Array.from(
+      { length: 10 },
+      (_, index) => core.createId<core.WorkspaceName>(`w${index}`),
+    ),
   };
 }
 
@@ -190,25 +189,3 @@
 function computeMean(median: number, sigma: number): number {
   return median * Math.exp(sigma * sigma / 2);
 }
-
-/** Mean tokens that one open stream holds: its prompt and half its length-biased length. */
-function computeMeanHeld(load: BenchLoad): number {
-  let tokens = 0;
-  let held = 0;
-  for (const { load: share, median, sigma } of load.ranks) {
-    tokens += share;
-    held += share * median * Math.exp(1.5 * sigma * sigma) / 2;
-  }
-  return computeMean(PROMPT_MEDIAN, PROMPT_SIGMA) + held / tokens;
-}
-
-/** Prompt tokens to be processed for each generated token. */
-function computePromptShare(load: BenchLoad): number {
-  let tokens = 0;
-  let prompts = 0;
-  for (const { load: share, median, sigma } of load.ranks) {
-    tokens += share;
-    prompts += share / computeMean(median, sigma) * computeMean(PROMPT_MEDIAN, PROMPT_SIGMA);
-  }
-  return prompts / tokens;
-}
--- a/packages/policy/src/engine_state.ts
+++ b/packages/policy/src/engine_state.ts
@@ -20,8 +20,6 @@
 
 /** Age beyond which a forecast is computed anew. */
 const FORECAST_MAX_AGE_MS = 200;
-/** Standard deviations of memory kept free. */
-const MEMORY_DEVIATIONS = 2;
 /** Share of memory that each preemption adds to the reserve. */
 const RESERVE_STEP = 0.02;
 const MAX_RESERVE = 0.4;
@@ -79,19 +77,15 @@
     this.#recordOwnMemory(now);
   }
 
-  /** Whether memory stays within its limit at a stated confidence with one more stream. */
+  /** Whether memory stays within its limit at the stated confidence with one more stream. */
   isMemoryLeft(stream: forecasts.StreamShape, now: number): boolean {
-    return this.#forecast.isWithin(this.#getLimit(now), stream, {
-      deviations: MEMORY_DEVIATIONS,
-    });
+    const maxHorizon = forecasts.ALL_HORIZONS;
+    return this.#forecast.isWithin(this.#getLimit(now), stream, { maxHorizon });
   }
 
   /** Whether memory is predicted to fill within `maxHorizon` tokens per stream. */
   isMemoryFilling(maxHorizon: number, now: number): boolean {
-    return !this.#forecast.isWithin(this.#getLimit(now), undefined, {
-      deviations: 1,
-      maxHorizon,
-    });
+    return !this.#forecast.isWithin(this.#getLimit(now), undefined, { maxHorizon });
   }
 
   /** Whether a stream of this size would fit if it were alone. */
--- a/packages/policy/src/length_predictor.ts
+++ b/packages/policy/src/length_predictor.ts
@@ -11,8 +11,10 @@
 /** Longest length that has a bucket of its own, in tokens. */
 const MAX_LENGTH_TOKENS = 2 ** 18;
 const BUCKET_COUNT = Math.log2(MAX_LENGTH_TOKENS) * BUCKETS_PER_OCTAVE;
-/** Hazard of ending per bucket before anything has been seen. */
-const PRIOR_HAZARD = 0.12;
+/** Hazard of ending in the first bucket before anything has been seen. */
+const PRIOR_HAZARD = 0.02;
+/** Rise of that hazard per bucket. */
+const PRIOR_HAZARD_RISE = 0.015;
 /** Weight of the coarser estimate, in observations. */
 const PRIOR_WEIGHT = 6;
 /** Observations per bucket above which older ones are halved. */
@@ -167,7 +169,8 @@
   let survival = 1;
   for (let bucket = 0; bucket < BUCKET_COUNT; bucket++) {
     table.survival[bucket] = survival;
-    const prior = coarser === undefined ? PRIOR_HAZARD : getHazard(coarser, bucket, PRIOR_HAZARD);
+    const base = PRIOR_HAZARD + PRIOR_HAZARD_RISE * bucket;
+    const prior = coarser === undefined ? base : getHazard(coarser, bucket, base);
     survival *= 1 - getHazard(table, bucket, prior);
   }
   table.survival[BUCKET_COUNT] = survival;
--- a/packages/policy/src/memory_forecast.ts
+++ b/packages/policy/src/memory_forecast.ts
@@ -2,8 +2,25 @@
 
 import type * as lengths from "./length_predictor.ts";
 
-/** Horizons of the forecast, in tokens per stream from now. */
-export const HORIZONS_TOKENS = [0, 16, 64, 256, 1024, 4096, 16384] as const;
+/** A point of the forecast. */
+interface Horizon {
+  /** Tokens per stream from now. */
+  readonly tokens: number;
+  /** Standard deviations kept free; fewer far ahead, where admission can still react. */
+  readonly deviations: number;
+}
+
+const HORIZONS: readonly Horizon[] = [
+  { tokens: 0, deviations: 2 },
+  { tokens: 16, deviations: 2 },
+  { tokens: 64, deviations: 2 },
+  { tokens: 256, deviations: 1.5 },
+  { tokens: 1_024, deviations: 0.75 },
+  { tokens: 4_096, deviations: 0.25 },
+  { tokens: 16_384, deviations: 0 },
+];
+/** Reaches every horizon. */
+export const ALL_HORIZONS = Infinity;
 
 /** What the forecast needs to know of one stream. */
 export interface StreamShape {
@@ -15,12 +32,12 @@
 
 /** Mean and variance of an engine's memory at each horizon, in tokens. */
 export class MemoryForecast {
-  readonly #mean = new Float64Array(HORIZONS_TOKENS.length);
-  readonly #variance = new Float64Array(HORIZONS_TOKENS.length);
+  readonly #mean = new Float64Array(HORIZONS.length);
+  readonly #variance = new Float64Array(HORIZONS.length);
 
   /** Adds a stream. */
   addStream(stream: StreamShape): void {
-    for (const [index, horizon] of HORIZONS_TOKENS.entries()) {
+    for (const [index, { tokens: horizon }] of HORIZONS.entries()) {
       const share = computeShare(stream, horizon);
       const tokens = stream.promptTokens + stream.emittedTokens + horizon;
       this.#mean[index]! += share * tokens;
@@ -32,11 +49,10 @@
   isWithin(
     limitTokens: number,
     stream: StreamShape | undefined,
-    options: { readonly deviations: number; readonly maxHorizon?: number },
+    options: { readonly maxHorizon: number },
   ): boolean {
-    const maxHorizon = options.maxHorizon ?? Infinity;
-    for (const [index, horizon] of HORIZONS_TOKENS.entries()) {
-      if (horizon > maxHorizon) return true;
+    for (const [index, { tokens: horizon, deviations }] of HORIZONS.entries()) {
+      if (horizon > options.maxHorizon) return true;
       let mean = this.#mean[index]!;
       let variance = this.#variance[index]!;
       if (stream !== undefined) {
@@ -45,9 +61,7 @@
         mean += share * tokens;
         variance += share * (1 - share) * tokens * tokens;
       }
-      if (mean + options.deviations * Math.sqrt(variance) > limitTokens) {
-        return false;
-      }
+      if (mean + deviations * Math.sqrt(variance) > limitTokens) return false;
     }
     return true;
   }
