--- a/packages/policy/src/speed_model.ts
+++ b/packages/policy/src/speed_model.ts
@@ -8,12 +8,17 @@
 const FORGETTING = 0.995;
 /** Weight of the prior, in samples. */
 const PRIOR_WEIGHT = 4;
+/** Batch that an engine gets before anything is known of it. */
+const FIRST_BATCH = 8;
+/** Most by which the batch exceeds the largest one that was seen. */
+const GROWTH = 1.25;
 const MIN_BASE_MS = 0.05;
 const MIN_SLOPE_MS = 0.001;
 
 /** Recursive least squares over (streams, ms per token) with forgetting. */
 export class SpeedModel {
   #weight = 0;
+  #largestBatch = 0;
   #sumBatch = 0;
   #sumBatchSquare = 0;
   #sumTime = 0;
@@ -23,6 +28,7 @@
 
   /** Records that with `batch` streams a token took `tokenMs`. */
   recordSample(batch: number, tokenMs: number): void {
+    this.#largestBatch = Math.max(this.#largestBatch, batch);
     this.#weight = this.#weight * FORGETTING + 1;
     this.#sumBatch = this.#sumBatch * FORGETTING + batch;
     this.#sumBatchSquare = this.#sumBatchSquare * FORGETTING + batch * batch;
@@ -36,9 +42,14 @@
     return this.#baseMs + this.#slopeMs * batch;
   }
 
-  /** Largest batch whose predicted time per token stays within `targetMs`; at least 1. */
+  /**
+   * Largest batch whose predicted time per token stays within `targetMs`; at
+   * least 1, and not far beyond the largest batch that was seen.
+   */
   predictMaxBatch(targetMs: number): number {
-    return Math.max(1, Math.floor((targetMs - this.#baseMs) / this.#slopeMs));
+    const byLine = Math.floor((targetMs - this.#baseMs) / this.#slopeMs);
+    const bySteps = Math.floor(FIRST_BATCH + this.#largestBatch * GROWTH);
+    return Math.max(1, Math.min(byLine, bySteps));
   }
 
   /** Ridge regression whose prior line has the prior's ratio of slope to base. */
