Use other zones' free capacity before waiting, and reserve for real demand

Change: (1) owners are first asked for capacity at once, the own zone's then for a place in its queue; (2) the predicted wait counts all grants that a rank can have, not only those it got; (3) the reserve for urgent ranks counts those that wait, not only those that run.

--- a/packages/bench/src/dispatchers.ts
+++ b/packages/bench/src/dispatchers.ts
@@ -45,6 +45,8 @@
   unreported: number;
   readonly avoid: core.EndpointId[];
   startBy: number;
+  /** Whether the request waits where it is asked for. */
+  mayQueue: boolean;
 }
 
 const HOP_MS = 0.5;
@@ -76,13 +78,21 @@
   }
 
   onArrival(run: results.RequestRun): void {
-    const [slot, ...others] = this.#routes[run.request.front]!;
     const { firstTokenMs } = this.#world.options.manifest.ranks.get(run.request.rank)!;
     const startBy = run.request.arrivedAt + firstTokenMs;
-    const open = { run, slot: slot!, others, unreported: 0, avoid: [], startBy };
+    const slot = this.#slots[0]!;
+    const open: OpenRequest = {
+      run,
+      slot,
+      others: [],
+      unreported: 0,
+      avoid: [],
+      startBy,
+      mayQueue: true,
+    };
     this.#open.set(run.request.id, open);
     this.#lengths.set(run.request.id, run.request.outputTokens);
-    this.#ask(open, HOP_MS);
+    this.#startRoute(open);
   }
 
   onLost(run: results.RequestRun, engine: core.EndpointId): void {
@@ -94,10 +104,7 @@
     open.avoid.push(engine);
     const { firstTokenMs } = this.#world.options.manifest.ranks.get(run.request.rank)!;
     open.startBy = this.#world.queue.now + firstTokenMs;
-    const [slot, ...others] = this.#routes[run.request.front]!;
-    open.slot = slot!;
-    open.others = others;
-    this.#ask(open, HOP_MS);
+    this.#startRoute(open);
   }
 
   onTokens(run: results.RequestRun, tokens: number): void {
@@ -212,9 +219,19 @@
       return;
     }
     open.slot = next;
+    open.mayQueue = open.others.length === 0;
     this.#ask(open, REMOTE_HOP_MS);
   }
 
+  /** Every owner is asked for capacity at once, then the first one again to wait. */
+  #startRoute(open: OpenRequest): void {
+    const [first, ...others] = this.#routes[open.run.request.front]!;
+    open.slot = first!;
+    open.others = others.length === 0 ? [] : [...others, first!];
+    open.mayQueue = others.length === 0;
+    this.#ask(open, HOP_MS);
+  }
+
   #tick(): void {
     for (const slot of this.#slots) this.#handle(slot, { type: "ticked" });
   }
@@ -268,10 +285,7 @@
     });
     for (const open of this.#open.values()) {
       if (open.slot !== owner || open.run.engine !== undefined) continue;
-      const [slot, ...others] = this.#routes[open.run.request.front]!;
-      open.slot = slot!;
-      open.others = others;
-      this.#ask(open, HOP_MS);
+      this.#startRoute(open);
     }
     queue.schedule(queue.now + takeoverMs, () => {
       const successor = this.#createSlot(owner.zone, 1);
@@ -415,6 +429,7 @@
     prefixes: request.prefixes,
     startBy: open.startBy,
     avoid: open.avoid,
+    mayQueue: open.mayQueue,
   };
 }
 
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -181,6 +181,11 @@
     this.#queue(rank, item);
     this.#grantModel(model, now);
     if (!this.#queued.has(capacity.request)) return;
+    rank.openPeak.recordValue(rank.openStreams + rank.queue.size, now);
+    if (!capacity.mayQueue) {
+      this.#unqueue(rank, item);
+      return this.#refuse(capacity, "busy", now);
+    }
     const waitMs = this.#predictWaitMs(model, rank, capacity.workspace, now);
     if (now + waitMs <= capacity.startBy) return;
     this.#unqueue(rank, item);
@@ -393,11 +398,25 @@
     if (now - model.saturatedAt > SATURATION_MEMORY_MS) return 0;
     const weight = this.#getWeight(workspace);
     const ahead = rank.queue.predictItemsAhead(workspace, weight);
-    const rate = rank.grants.getRate(now);
+    const rate = this.#predictGrantRate(model, rank, now);
     if (rate <= 0) return 0;
     return ahead / rate * 1000;
   }
 
+  /** Grants a second that the rank can have: what more urgent ranks and floors leave of all. */
+  #predictGrantRate(model: ModelState, rank: RankQueue, now: number): number {
+    let total = 0;
+    let urgent = 0;
+    let floors = 0;
+    for (const other of model.ranks) {
+      const rate = other.grants.getRate(now);
+      total += rate;
+      if (other.order < rank.order) urgent += rate;
+      else if (other !== rank) floors += this.#manifest?.ranks.get(other.name)?.floor ?? 0;
+    }
+    return Math.max(rank.grants.getRate(now), total * (1 - floors) - urgent);
+  }
+
   #openStream(
     engine: engines.EngineState,
     capacity: types.CapacityRequest,
--- a/packages/policy/src/scheduler_types.ts
+++ b/packages/policy/src/scheduler_types.ts
@@ -32,6 +32,8 @@
   readonly prefixes: readonly number[];
   /** When the first token must have come. */
   readonly startBy: number;
+  /** Whether it may wait; else it is refused unless there is capacity at once. */
+  readonly mayQueue: boolean;
   /** Endpoints that failed this request already. */
   readonly avoid: readonly core.EndpointId[];
 }
@@ -68,6 +70,8 @@
 /** Why capacity is refused. */
 export type RefusalReason =
   | "queue_too_long"
+  /** There was no capacity at once, and the request may not wait. */
+  | "busy"
   | "deadline_exceeded"
   | "no_endpoint"
   | "too_large"
