Predict the wait of a workspace from its own turn

Cause: with one workspace asking ten times the rest, the small ones were refused 10 to 20% of their requests although they asked for less than their share: the predicted wait counted every backlogged workspace before each of their items, but their turn is next. Change: items ahead are own ones with what others get beside them, and what others are owed before this workspace's turn.

--- a/packages/bench/src/results.ts
+++ b/packages/bench/src/results.ts
@@ -43,6 +43,8 @@
   readonly total: GroupResult;
   readonly ranks: ReadonlyMap<string, GroupResult>;
   readonly workspaces: ReadonlyMap<string, GroupResult>;
+  /** By workspace and rank, as `workspace rank`. */
+  readonly parts: ReadonlyMap<string, GroupResult>;
   readonly preemptions: number;
   readonly durationMs: number;
   readonly windowMs: number;
@@ -72,6 +74,7 @@
   readonly #all = new GroupCollector();
   readonly #ranks = new Map<string, GroupCollector>();
   readonly #workspaces = new Map<string, GroupCollector>();
+  readonly #parts = new Map<string, GroupCollector>();
 
   constructor(
     manifest: core.Manifest,
@@ -135,6 +138,7 @@
       total: this.#createGroup(this.#all),
       ranks: this.#createGroups(this.#ranks),
       workspaces: this.#createGroups(this.#workspaces),
+      parts: this.#createGroups(this.#parts),
       preemptions,
       durationMs: this.#durationMs,
       windowMs: this.#durationMs - this.#warmUpMs,
@@ -147,6 +151,7 @@
       this.#all,
       getOrCreate(this.#ranks, request.rank),
       getOrCreate(this.#workspaces, request.workspace),
+      getOrCreate(this.#parts, `${request.workspace} ${request.rank}`),
     ];
   }
 
--- a/packages/policy/src/fair_queue.ts
+++ b/packages/policy/src/fair_queue.ts
@@ -37,6 +37,8 @@
   #virtualTime = 0;
   #size = 0;
   #backloggedWeight = 0;
+  #chargedTokens = 0;
+  #removedItems = 0;
 
   /** Number of queued items. */
   get size(): number {
@@ -60,6 +62,7 @@
     const queue = this.#getQueue(workspace);
     queue.weight = weight;
     queue.virtualTime += tokens / weight;
+    this.#chargedTokens += tokens;
   }
 
   /** The item to serve next, or `undefined`; it stays queued. */
@@ -76,6 +79,7 @@
     const index = queue.items.indexOf(item);
     if (index < 0) return false;
     queue.items.splice(index, 1);
+    this.#removedItems += 1;
     this.#size -= 1;
     if (queue.items.length === 0) this.#backloggedWeight -= queue.weight;
     return true;
@@ -99,11 +103,18 @@
     return expired;
   }
 
-  /** Expected number of items served before a new one of `workspace`. */
+  /**
+   * Expected number of items served until the newest one of `workspace` is:
+   * its own before it, what others get beside each of these, and what others
+   * are owed before the workspace's turn comes.
+   */
   predictItemsAhead(workspace: core.WorkspaceName, weight: number): number {
-    const queued = this.#queues.get(workspace)?.items.length ?? 0;
-    const totalWeight = this.#backloggedWeight + (queued > 0 ? 0 : weight);
-    return Math.min(this.#size, queued * totalWeight / weight);
+    const queue = this.#queues.get(workspace);
+    if (queue === undefined || queue.items.length === 0) return 0;
+    const own = (queue.items.length - 1) * this.#backloggedWeight / weight;
+    const lead = Math.max(0, queue.virtualTime - this.#virtualTime);
+    const owed = lead * (this.#backloggedWeight - weight) / this.#getMeanCharge();
+    return Math.min(this.#size, 1 + own + owed);
   }
 
   /** Drops workspaces that hold nothing, once there are more than `limit`. */
@@ -116,6 +127,10 @@
     }
   }
 
+  #getMeanCharge(): number {
+    return Math.max(1, this.#chargedTokens / Math.max(1, this.#removedItems));
+  }
+
   #getQueue(workspace: core.WorkspaceName): WorkspaceQueue<Item> {
     let queue = this.#queues.get(workspace);
     if (queue === undefined) {
