--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -11,7 +11,6 @@
 import * as reserves from "./rank_reserve.ts";
 import * as shares from "./rank_shares.ts";
 import type * as types from "./scheduler_types.ts";
-import * as workspaces from "./workspace_shares.ts";
 
 interface QueuedRequest extends queues.QueueItem {
   readonly capacity: types.CapacityRequest;
@@ -22,7 +21,6 @@
   readonly order: number;
   readonly queue: queues.FairQueue<QueuedRequest>;
   readonly grants: reserves.DecayingRate;
-  readonly workspaces: workspaces.WorkspaceShares;
   /** Most streams of the rank that were open lately. */
   readonly openPeak: reserves.DecayingPeak;
   openStreams: number;
@@ -260,7 +258,6 @@
   #runTick(now: number): void {
     for (const model of this.#models.values()) {
       for (const rank of model.ranks) {
-        rank.workspaces.updateHeavy((workspace) => this.#getWeight(workspace));
         for (const item of rank.queue.removeExpired(now)) {
           this.#queued.delete(item.capacity.request);
           this.#refuse(item.capacity, "deadline_exceeded", now);
@@ -347,8 +344,7 @@
     now: number,
   ): engines.EngineState | undefined {
     const survival = this.#predictor.getSurvival(capacity);
-    const keepFree = this.#countReserved(model, rank, now) +
-      rank.workspaces.countReserved(capacity.workspace, now);
+    const keepFree = this.#countReserved(model, rank, now);
     let openSlots = 0;
     const candidates: engines.EngineState[] = [];
     for (const engine of this.#engines.values()) {
@@ -444,7 +440,6 @@
     engine.prefixes.recordPrompt(capacity.prefixes);
     this.#streams.set(capacity.request, engine);
     rank.openStreams += 1;
-    rank.workspaces.recordOpened(capacity.workspace, now);
     rank.openPeak.recordValue(rank.openStreams, now);
     const promptCost = capacity.promptTokens * PROMPT_TOKEN_COST;
     this.#chargeTokens(capacity, stream.prepaidTokens + promptCost);
@@ -465,7 +460,6 @@
       stream.capacity.rank,
     );
     rank.openStreams -= 1;
-    rank.workspaces.recordClosed(stream.capacity.workspace);
     this.#chargeTokens(stream.capacity, -stream.prepaidTokens);
   }
 
@@ -582,7 +576,6 @@
     order,
     queue: old?.queue ?? new queues.FairQueue<QueuedRequest>(),
     grants: old?.grants ?? new reserves.DecayingRate(GRANT_RATE_WINDOW_MS),
-    workspaces: old?.workspaces ?? new workspaces.WorkspaceShares(),
     openPeak: old?.openPeak ?? new reserves.DecayingPeak(),
     openStreams: old?.openStreams ?? 0,
   };
