Ask every owner for capacity at once before waiting at one

Change: the client asks owners with the wish not to wait, the own zone's first, then the own zone's for a place in its queue. A request that is asked for twice at one scheduler is queued once.

--- a/packages/bench/src/policy_bench.ts
+++ b/packages/bench/src/policy_bench.ts
@@ -56,7 +56,8 @@
       (urgent?.betweenTokensP95Ms ?? 0).toFixed(1).padStart(8),
       String(urgent?.refused ?? 0).padStart(8),
       ((patient?.onTimeShare ?? 0) * 100).toFixed(1).padStart(16),
-      ((patient?.windowTokens ?? 0) / Math.max(1, result.total.windowTokens) * 100).toFixed(1).padStart(13),
+      ((patient?.windowTokens ?? 0) / Math.max(1, result.total.windowTokens) * 100).toFixed(1)
+        .padStart(13),
       result.total.stallSeconds.toFixed(1).padStart(8),
       String(result.preemptions).padStart(8),
     ].join(" ");
--- a/packages/entry/src/capacity_client.ts
+++ b/packages/entry/src/capacity_client.ts
@@ -45,11 +45,17 @@
   readonly evicted: AbortSignal;
 }
 
+/** One question to one owner. */
+interface AskStep {
+  readonly link: CapacityLink;
+  readonly mayQueue: boolean;
+}
+
 interface Ask {
   readonly capacity: policy.CapacityRequest;
   readonly fallback: CapacityLink;
-  /** Owners that were not asked yet. */
-  owners: CapacityLink[];
+  /** Questions that were not asked yet. */
+  steps: AskStep[];
   link: CapacityLink;
   resolve: (result: neverthrow.Result<CapacityGrant, CapacityRefusal>) => void;
   timer: NodeJS.Timeout | undefined;
@@ -83,11 +89,12 @@
     capacity: policy.CapacityRequest,
     options: { readonly signal: AbortSignal },
   ): Promise<neverthrow.Result<CapacityGrant, CapacityRefusal>> {
-    const { owners: [first, ...owners], fallback } = this.#chooser.chooseRoute(capacity);
+    const { owners, fallback } = this.#chooser.chooseRoute(capacity);
     if (options.signal.aborted) return Promise.resolve(refuse("cancelled"));
     return new Promise((resolve) => {
-      const link = first ?? fallback;
-      const ask: Ask = { capacity, fallback, owners, link, resolve, timer: undefined };
+      const [first, ...steps] = createSteps(owners, fallback);
+      const { link } = first;
+      const ask: Ask = { capacity, fallback, steps, link, resolve, timer: undefined };
       const cancel = () => this.#cancelAsk(ask);
       options.signal.addEventListener("abort", cancel, { once: true });
       ask.resolve = (result) => {
@@ -97,7 +104,7 @@
         resolve(result);
       };
       this.#asks.set(capacity.request, ask);
-      this.#sendAsk(ask);
+      this.#sendAsk(ask, first);
     });
   }
 
@@ -122,10 +129,12 @@
   /** Moves waiting requests and open streams whose owner has changed to the new one. */
   reassign(): void {
     for (const ask of this.#asks.values()) {
-      const { owners: [first, ...owners] } = this.#chooser.chooseRoute(ask.capacity);
-      if (first === undefined || first === ask.link) continue;
-      ask.owners = owners;
-      this.#moveAsk(ask, first);
+      const { owners, fallback } = this.#chooser.chooseRoute(ask.capacity);
+      if (owners.includes(ask.link)) continue;
+      const [first, ...steps] = createSteps(owners, fallback);
+      this.#leaveOwner(ask);
+      ask.steps = steps;
+      this.#sendAsk(ask, first);
     }
     for (const grant of this.#grants.values()) {
       const link = this.#chooser.chooseOwner(grant.endpoint);
@@ -169,24 +178,26 @@
     }
   }
 
-  #sendAsk(ask: Ask): void {
-    ask.link.send({ type: "request_arrived", capacity: ask.capacity });
+  #sendAsk(ask: Ask, step: AskStep): void {
+    ask.link = step.link;
+    const capacity = { ...ask.capacity, mayQueue: step.mayQueue };
+    ask.link.send({ type: "request_arrived", capacity });
     clearTimeout(ask.timer);
-    if (this.#asks.has(ask.capacity.request) && ask.link !== ask.fallback) this.#watchAsk(ask);
+    if (this.#asks.has(capacity.request) && ask.link !== ask.fallback) this.#watchAsk(ask);
   }
 
   /** An owner that falls silent while the request waits is given up for the fallback. */
   #watchAsk(ask: Ask): void {
     ask.timer = setTimeout(() => {
-      if (ask.link.isOpen()) this.#watchAsk(ask);
-      else this.#moveAsk(ask, ask.fallback);
+      if (ask.link.isOpen()) return this.#watchAsk(ask);
+      this.#leaveOwner(ask);
+      ask.steps = [];
+      this.#sendAsk(ask, { link: ask.fallback, mayQueue: true });
     }, OWNER_SILENCE_MS);
   }
 
-  #moveAsk(ask: Ask, link: CapacityLink): void {
+  #leaveOwner(ask: Ask): void {
     ask.link.send({ type: "request_ended", request: ask.capacity.request, ended: false });
-    ask.link = link;
-    this.#sendAsk(ask);
   }
 
   #cancelAsk(ask: Ask): void {
@@ -228,8 +239,8 @@
   ): void {
     const ask = this.#asks.get(effect.request);
     if (ask === undefined || ask.link !== link) return;
-    const next = isWorthAskingOthers(effect.reason) ? ask.owners.shift() : undefined;
-    if (next !== undefined) return this.#moveAsk(ask, next);
+    const next = isWorthAskingOthers(effect.reason) ? ask.steps.shift() : undefined;
+    if (next !== undefined) return this.#sendAsk(ask, next);
     ask.resolve(
       neverthrow.err({
         reason: effect.reason,
@@ -302,8 +313,20 @@
   );
 }
 
+/** Every owner is asked for capacity at once, then the first one for a place in its queue. */
+function createSteps(
+  owners: readonly CapacityLink[],
+  fallback: CapacityLink,
+): readonly [AskStep, ...AskStep[]] {
+  const [first, ...others] = owners;
+  if (first === undefined) return [{ link: fallback, mayQueue: true }];
+  if (others.length === 0) return [{ link: first, mayQueue: true }];
+  const immediate = others.map((link) => ({ link, mayQueue: false }));
+  return [{ link: first, mayQueue: false }, ...immediate, { link: first, mayQueue: true }];
+}
+
 function isWorthAskingOthers(reason: policy.RefusalReason): boolean {
-  return reason === "queue_too_long" || reason === "no_endpoint" ||
+  return reason === "busy" || reason === "queue_too_long" || reason === "no_endpoint" ||
     reason === "draining";
 }
 
--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -421,6 +421,7 @@
       prefixes: policy.computePrefixHashes(this.#ask.promptText),
       startBy: Math.min(this.#resolved.deadlineAt, from + startTargetMs),
       avoid: this.#avoid,
+      mayQueue: true,
     };
   }
 
--- a/packages/entry/src/request_problems.ts
+++ b/packages/entry/src/request_problems.ts
@@ -20,6 +20,7 @@
 const REFUSALS: Readonly<
   Record<capacity.CapacityRefusal["reason"], ProblemShape>
 > = {
+  busy: { status: 429, detail: "no capacity is free now", retryable: true },
   queue_too_long: {
     status: 429,
     detail: "the request could not start in time for its rank",
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -168,6 +168,7 @@
   }
 
   #addRequest(capacity: types.CapacityRequest, now: number): void {
+    if (this.#queued.has(capacity.request) || this.#streams.has(capacity.request)) return;
     const refusal = this.#getRefusal(capacity);
     if (refusal !== undefined) return this.#refuse(capacity, refusal, now);
     const model = this.#getModel(capacity.model);
