Tell an engine's owner at once that it cannot be reached

Cause: a generation whose engine was killed and came back spent its five attempts in 10 ms: the front knew that the engine was unreachable, but its owner granted it again until the next status read. Ruled out: a pause between attempts (it would slow the healthy case too). Change: a request's end carries how it ended; after 'unreachable' the engine gets nothing until its state is read again. A model whose engines are all away for the moment makes requests wait within their start target, not fail.

--- a/packages/bench/src/dispatchers.ts
+++ b/packages/bench/src/dispatchers.ts
@@ -98,7 +98,7 @@
   onLost(run: results.RequestRun, engine: core.EndpointId): void {
     const open = this.#open.get(run.request.id);
     if (open === undefined) return;
-    this.#handle(open.slot, { type: "request_ended", request: run.request.id, ended: false });
+    this.#handle(open.slot, { type: "request_ended", request: run.request.id, end: "abandoned" });
     for (const slot of this.#slots) this.#updateEngine(slot, engine, false);
     this.#leaving.add(engine);
     open.avoid.push(engine);
@@ -118,7 +118,7 @@
     this.#open.delete(run.request.id);
     this.#world.queue.schedule(this.#world.queue.now + HOP_MS, () => {
       this.#reportTokens(open);
-      this.#handle(open.slot, { type: "request_ended", request: run.request.id, ended: true });
+      this.#handle(open.slot, { type: "request_ended", request: run.request.id, end: "completed" });
     });
   }
 
--- a/packages/entry/src/capacity_client.ts
+++ b/packages/entry/src/capacity_client.ts
@@ -39,8 +39,8 @@
   readonly queuedMs: number;
   /** Records generated tokens. */
   recordTokens(count: number): void;
-  /** Gives the capacity back; `ended` if the generation came to its own end. */
-  end(ended: boolean): void;
+  /** Gives the capacity back. */
+  end(end: policy.StreamEnd): void;
   /** Aborts when the owner takes the capacity back. */
   readonly evicted: AbortSignal;
 }
@@ -142,7 +142,7 @@
       grant.link.send({
         type: "request_ended",
         request: grant.capacity.request,
-        ended: false,
+        end: "abandoned",
       });
       grant.link = link;
       const { capacity, endpoint, emittedTokens } = grant;
@@ -197,7 +197,7 @@
   }
 
   #leaveOwner(ask: Ask): void {
-    ask.link.send({ type: "request_ended", request: ask.capacity.request, ended: false });
+    ask.link.send({ type: "request_ended", request: ask.capacity.request, end: "abandoned" });
   }
 
   #cancelAsk(ask: Ask): void {
@@ -205,7 +205,7 @@
     ask.link.send({
       type: "request_ended",
       request: ask.capacity.request,
-      ended: false,
+      end: "abandoned",
     });
     ask.resolve(refuse("cancelled"));
   }
@@ -220,7 +220,7 @@
         link.send({
           type: "request_ended",
           request: effect.request,
-          ended: false,
+          end: "abandoned",
         });
       }
       return;
@@ -280,11 +280,11 @@
         open.unreportedTokens += count;
         open.emittedTokens += count;
       },
-      end: (ended) => this.#endGrant(open, ended),
+      end: (end) => this.#endGrant(open, end),
     };
   }
 
-  #endGrant(open: OpenGrant, ended: boolean): void {
+  #endGrant(open: OpenGrant, end: policy.StreamEnd): void {
     const request = open.capacity.request;
     if (this.#grants.get(request) !== open) return;
     this.#grants.delete(request);
@@ -295,7 +295,7 @@
         tokens: open.unreportedTokens,
       });
     }
-    open.link.send({ type: "request_ended", request, ended });
+    open.link.send({ type: "request_ended", request, end });
   }
 }
 
--- a/packages/entry/src/capacity_host.ts
+++ b/packages/entry/src/capacity_host.ts
@@ -83,7 +83,7 @@
     }
     for (const request of requests) {
       this.#origins.delete(request);
-      this.handleEvent({ type: "request_ended", request, ended: false }, now);
+      this.handleEvent({ type: "request_ended", request, end: "abandoned" }, now);
     }
   }
 
--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -217,12 +217,17 @@
     if (this.#grant?.evicted.aborted) {
       return this.#createFailure("failed", "evicted");
     }
-    if (error.code === "unreachable") {
-      this.#context.directory.table.recordFailure(endpoint, this.#now());
-    }
+    if (error.code === "unreachable") this.#recordUnreachable(endpoint);
     return this.#createFailure(error.outcome, error.code);
   }
 
+  /** Tells the engine's owner, which gives it no new work until it answers again. */
+  #recordUnreachable(endpoint: core.EndpointId): void {
+    this.#context.directory.table.recordFailure(endpoint, this.#now());
+    this.#grant?.end("unreachable");
+    this.#grant = undefined;
+  }
+
   async #resume(): Promise<AttemptResult> {
     const endpoint = this.#endpoint!;
     const stream = await this.#context.client.resumeGeneration(endpoint, {
@@ -232,9 +237,7 @@
       from: this.#position.delivered,
     }, { signal: this.#createSignal() });
     if (stream.isErr()) {
-      if (stream.error.code === "unreachable") {
-        this.#context.directory.table.recordFailure(endpoint, this.#now());
-      }
+      if (stream.error.code === "unreachable") this.#recordUnreachable(endpoint);
       const isGone = stream.error.code === "unknown_generation";
       return this.#createFailure(
         isGone ? "failed" : "unknown",
@@ -298,7 +301,7 @@
     end: Extract<engines.EngineEvent, { readonly type: "end" }>,
   ): AttemptResult {
     this.#generation = undefined;
-    this.#grant?.end(end.finishReason === "stop");
+    this.#grant?.end(end.finishReason === "stop" ? "completed" : "abandoned");
     this.#grant = undefined;
     return neverthrow.ok({
       finishReason: end.finishReason,
@@ -373,7 +376,7 @@
 
   /** Gives up what is held of the present attempt; a generation left behind is cancelled. */
   #leaveGeneration(wasEvicted: boolean): void {
-    if (!wasEvicted) this.#grant?.end(false);
+    if (!wasEvicted) this.#grant?.end("abandoned");
     this.#grant = undefined;
     if (this.#generation === undefined || this.#endpoint === undefined) return;
     void this.#context.client.cancelGeneration(
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -111,7 +111,7 @@
       case "tokens_generated":
         return this.#recordTokens(event.request, event.tokens, now);
       case "request_ended":
-        return this.#endRequest(event.request, event.ended, now);
+        return this.#endRequest(event.request, event.end, now);
       case "ticked":
         return this.#runTick(now);
     }
@@ -202,13 +202,13 @@
     }
     if (!this.#manifest.ranks.has(capacity.rank)) return "unknown_rank";
     if (!this.#manifest.models.has(capacity.model)) return "unknown_model";
-    let serving = 0;
+    let known = 0;
     for (const engine of this.#engines.values()) {
-      if (!isServing(engine, capacity)) continue;
-      serving += 1;
+      if (!engine.info.models.includes(capacity.model)) continue;
+      known += 1;
       if (engine.isEverPossible(capacity.promptTokens + 1)) return undefined;
     }
-    return serving === 0 ? "no_endpoint" : "too_large";
+    return known === 0 ? "no_endpoint" : "too_large";
   }
 
   #adoptStream(adopted: types.AdoptedStream, now: number): void {
@@ -238,7 +238,7 @@
     this.#chargeTokens(stream.capacity, tokens - prepaid);
   }
 
-  #endRequest(request: core.RequestId, ended: boolean, now: number): void {
+  #endRequest(request: core.RequestId, end: types.StreamEnd, now: number): void {
     this.#orphans.delete(request);
     const queued = this.#queued.get(request);
     if (queued !== undefined) {
@@ -249,10 +249,12 @@
     const engine = this.#streams.get(request);
     if (engine === undefined) return;
     const stream = engine.streams.get(request)!;
-    if (ended && stream.emittedTokens < stream.capacity.maxTokens) {
+    if (end === "completed" && stream.emittedTokens < stream.capacity.maxTokens) {
       this.#predictor.recordEnd(stream.capacity, stream.emittedTokens);
     }
     this.#closeStream(engine, stream);
+    // Until the engine's state is read again, no request should try it.
+    if (end === "unreachable") engine.info = { ...engine.info, accepting: false };
     this.#grantModel(this.#getModel(stream.capacity.model), now);
   }
 
--- a/packages/policy/src/scheduler_types.ts
+++ b/packages/policy/src/scheduler_types.ts
@@ -45,6 +45,12 @@
   readonly emittedTokens: number;
 }
 
+/**
+ * How a request has ended: its generation came to its own end, so that its
+ * length may be learned; it was given up; or its engine could not be reached.
+ */
+export type StreamEnd = "completed" | "abandoned" | "unreachable";
+
 /** What happened. */
 export type SchedulerEvent =
   | { readonly type: "manifest_changed"; readonly manifest: core.Manifest }
@@ -62,8 +68,7 @@
   | {
     readonly type: "request_ended";
     readonly request: core.RequestId;
-    /** Whether the generation came to its own end, so that its length may be learned. */
-    readonly ended: boolean;
+    readonly end: StreamEnd;
   }
   | { readonly type: "ticked" };
 
