--- a/packages/entry/src/call_broker.ts
+++ b/packages/entry/src/call_broker.ts
@@ -78,15 +78,16 @@
   /** Tells the schedulers which endpoints may get new work. */
   updateEndpoints(): void {
     const now = this.#runtime.clock.now();
-    const listed = this.#directory.table.getEndpoints("service");
+    const { table } = this.#directory;
+    const listed = table.getEndpoints("service");
     for (const [service, spec] of this.#manifest?.services ?? []) {
       const endpoints: policy.CallEndpoint[] = [];
       for (const entry of listed) {
-        if (entry.service !== service) continue;
-        if (!this.#directory.table.isAccepting(entry.endpoint, now)) continue;
+        if (entry.service !== service || table.isLeaving(entry.endpoint)) continue;
         endpoints.push({
           endpoint: entry.endpoint,
           local: entry.zone === this.#zone,
+          accepting: table.isAccepting(entry.endpoint, now),
         });
       }
       const { concurrency } = spec;
@@ -98,8 +99,11 @@
     }
   }
 
-  /** Refuses what can no longer start in time. */
+  /** Refuses what can no longer start in time, and tries endpoints again that had failed. */
   runTick(): void {
+    let queued = 0;
+    for (const scheduler of this.#schedulers.values()) queued += scheduler.queuedCount;
+    if (queued > 0) this.updateEndpoints();
     for (const service of this.#schedulers.keys()) {
       this.#handle(service, { type: "ticked" });
     }
--- a/packages/policy/src/call_scheduler.ts
+++ b/packages/policy/src/call_scheduler.ts
@@ -20,13 +20,15 @@
   readonly endpoint: core.EndpointId;
   /** Whether it is in this process's availability zone. */
   readonly local: boolean;
+  /** Whether it may get new calls now. */
+  readonly accepting: boolean;
 }
 
 /** What happened. */
 export type CallEvent =
   | {
     readonly type: "endpoints_changed";
-    /** Those that may get new work. */
+    /** Those that do not leave. */
     readonly endpoints: readonly CallEndpoint[];
     readonly concurrency: number;
   }
@@ -58,7 +60,8 @@
 
 interface EndpointState {
   info: CallEndpoint;
-  accepting: boolean;
+  /** Whether it is still one of the service's endpoints. */
+  listed: boolean;
   readonly limit: limits.ConcurrencyLimit;
   inFlight: number;
 }
@@ -103,32 +106,35 @@
     endpoints: readonly CallEndpoint[],
     concurrency: number,
   ): void {
-    for (const state of this.#endpoints.values()) state.accepting = false;
+    for (const state of this.#endpoints.values()) {
+      state.info = { ...state.info, accepting: false };
+      state.listed = false;
+    }
     for (const info of endpoints) {
       const known = this.#endpoints.get(info.endpoint);
       if (known === undefined) {
         const limit = new limits.ConcurrencyLimit(concurrency);
         this.#endpoints.set(info.endpoint, {
           info,
-          accepting: true,
+          listed: true,
           limit,
           inFlight: 0,
         });
         continue;
       }
       known.info = info;
-      known.accepting = true;
+      known.listed = true;
       known.limit.updateMax(concurrency);
     }
     for (const [endpoint, state] of this.#endpoints) {
-      if (!state.accepting && state.inFlight === 0) {
+      if (!state.listed && state.inFlight === 0) {
         this.#endpoints.delete(endpoint);
       }
     }
   }
 
   #addCall(call: PlacedCall, now: number): void {
-    if (![...this.#endpoints.values()].some((state) => state.accepting)) {
+    if (![...this.#endpoints.values()].some((state) => state.listed)) {
       this.#effects.push({
         type: "call_refused",
         id: call.id,
@@ -204,7 +210,7 @@
     let best: EndpointState | undefined;
     let bestCost = Infinity;
     for (const state of this.#endpoints.values()) {
-      if (!state.accepting || state.inFlight >= state.limit.limit) continue;
+      if (!state.info.accepting || state.inFlight >= state.limit.limit) continue;
       const isAvoided = call.avoid.includes(state.info.endpoint);
       const load = (state.inFlight + 1) / state.limit.limit;
       const cost = load + (state.info.local ? 0 : 10) + (isAvoided ? 100 : 0);
--- a/packages/services/src/errors.ts
+++ b/packages/services/src/errors.ts
@@ -7,6 +7,7 @@
   readonly outcome: core.FailureOutcome;
   readonly code:
     | "unreachable"
+    | "declined"
     | "connection_lost"
     | "timeout"
     | "crossed"
@@ -38,7 +39,7 @@
 
 /** An attempt that never reached the endpoint, or that the endpoint did not take. */
 export function createNotSentError(message: string): ServiceError {
-  return { outcome: "not_run", code: "unreachable", message };
+  return { outcome: "not_run", code: "declined", message };
 }
 
 /** An answer that belongs to another request. */
--- a/packages/standins/src/test_bed.ts
+++ b/packages/standins/src/test_bed.ts
@@ -127,6 +127,7 @@
       readonly extra?: string;
       readonly peers?: string;
       readonly cores?: number;
+      readonly seeds?: readonly string[];
     } = {},
   ): Promise<StartedEntry> {
     const peers = options.peers ?? `${HOST}:${await getFreePort()}`;
@@ -135,7 +136,9 @@
 cores: ${options.cores ?? 1}
 callers: { host: ${HOST}, port: 0 }
 operators: { host: ${HOST}, port: 0 }
-peers: { host: ${HOST}, port: ${peers.split(":")[1]} }
+peers: { host: ${HOST}, port: ${peers.split(":")[1]}, seeds: ${
+      JSON.stringify(options.seeds ?? [])
+    } }
 platform: { url: "http://${options.platform ?? this.#platform}", timeout_ms: 500 }
 cursor_secret: a-secret-for-tests-only
 ${options.extra ?? ""}`;
