Lose no request when links and owners change

Cause: three faults that failure tests found. (1) About one start in six, a request hung until its deadline of 60 s: its question to the owner was sent on a link that was being replaced, and an open link later counted as an owner that still had it queued. (2) While an owner drained, others asked it after it had handed its engines over, and were refused: 'no_endpoint'. (3) A burst after a lull was refused as too long a queue, since the rate of grants over 10 s says nothing after a lull. Ruled out: a longer wait for the first link (the question is lost later too). Change: (1) unanswered questions are repeated, and an owner whose link was opened anew is told of open streams and waiting requests again; silent links are closed by both sides. (2) After 'no_endpoint' owners are chosen anew for 0.8 s. (3) The predicted rate is at least open streams over their mean time.

--- a/packages/entry/src/capacity_client.ts
+++ b/packages/entry/src/capacity_client.ts
@@ -57,6 +57,8 @@
   /** Questions that were not asked yet. */
   steps: AskStep[];
   link: CapacityLink;
+  mayQueue: boolean;
+  reroutesLeft: number;
   resolve: (result: neverthrow.Result<CapacityGrant, CapacityRefusal>) => void;
   timer: NodeJS.Timeout | undefined;
 }
@@ -70,8 +72,12 @@
   emittedTokens: number;
 }
 
-/** Wait for an owner's word on a request that it has not refused or granted, before the next. */
-const OWNER_SILENCE_MS = 300;
+/** Wait for an owner's answer before the question is repeated; doubles each time. */
+const FIRST_REPEAT_MS = 300;
+const MAX_REPEAT_MS = 1_200;
+/** Pause before owners are chosen anew, and how often they are. */
+const REROUTE_PAUSE_MS = 100;
+const MAX_REROUTES = 8;
 const REPORT_INTERVAL_MS = 100;
 
 /** Keeps the open asks and grants of this process. */
@@ -93,8 +99,15 @@
     if (options.signal.aborted) return Promise.resolve(refuse("cancelled"));
     return new Promise((resolve) => {
       const [first, ...steps] = createSteps(owners, fallback);
-      const { link } = first;
-      const ask: Ask = { capacity, fallback, steps, link, resolve, timer: undefined };
+      const ask: Ask = {
+        capacity,
+        fallback,
+        steps,
+        ...first,
+        reroutesLeft: MAX_REROUTES,
+        resolve,
+        timer: undefined,
+      };
       const cancel = () => this.#cancelAsk(ask);
       options.signal.addEventListener("abort", cancel, { once: true });
       ask.resolve = (result) => {
@@ -145,11 +158,15 @@
         end: "abandoned",
       });
       grant.link = link;
-      const { capacity, endpoint, emittedTokens } = grant;
-      link.send({
-        type: "stream_adopted",
-        stream: { capacity, endpoint, emittedTokens },
-      });
+      this.#sendAdoption(grant);
+    }
+  }
+
+  /** Tells an owner anew what it may have forgotten when its link was lost. */
+  registerAgain(link: CapacityLink): void {
+    for (const ask of this.#asks.values()) if (ask.link === link) this.#sendArrival(ask);
+    for (const grant of this.#grants.values()) {
+      if (grant.link === link) this.#sendAdoption(grant);
     }
   }
 
@@ -180,26 +197,55 @@
 
   #sendAsk(ask: Ask, step: AskStep): void {
     ask.link = step.link;
-    const capacity = { ...ask.capacity, mayQueue: step.mayQueue };
-    ask.link.send({ type: "request_arrived", capacity });
+    ask.mayQueue = step.mayQueue;
+    this.#sendArrival(ask);
     clearTimeout(ask.timer);
-    if (this.#asks.has(capacity.request) && ask.link !== ask.fallback) this.#watchAsk(ask);
+    if (!this.#asks.has(ask.capacity.request) || ask.link === ask.fallback) return;
+    this.#watchAsk(ask, FIRST_REPEAT_MS);
   }
 
-  /** An owner that falls silent while the request waits is given up for the fallback. */
-  #watchAsk(ask: Ask): void {
+  #sendArrival(ask: Ask): void {
+    const capacity = { ...ask.capacity, mayQueue: ask.mayQueue };
+    ask.link.send({ type: "request_arrived", capacity });
+  }
+
+  /**
+   * Repeats the question while it has no answer, as it may have been lost with
+   * a link. An owner that falls silent is given up for the fallback.
+   */
+  #watchAsk(ask: Ask, waitMs: number): void {
     ask.timer = setTimeout(() => {
-      if (ask.link.isOpen()) return this.#watchAsk(ask);
+      if (ask.link.isOpen()) {
+        this.#sendArrival(ask);
+        return this.#watchAsk(ask, Math.min(2 * waitMs, MAX_REPEAT_MS));
+      }
       this.#leaveOwner(ask);
       ask.steps = [];
       this.#sendAsk(ask, { link: ask.fallback, mayQueue: true });
-    }, OWNER_SILENCE_MS);
+    }, waitMs);
+  }
+
+  /** An owner without engines may have handed them over; its successor is known soon. */
+  #rerouteAsk(ask: Ask): void {
+    ask.reroutesLeft -= 1;
+    clearTimeout(ask.timer);
+    ask.timer = setTimeout(() => {
+      const { owners, fallback } = this.#chooser.chooseRoute(ask.capacity);
+      const [first, ...steps] = createSteps(owners, fallback);
+      ask.steps = steps;
+      this.#sendAsk(ask, first);
+    }, REROUTE_PAUSE_MS);
   }
 
   #leaveOwner(ask: Ask): void {
     ask.link.send({ type: "request_ended", request: ask.capacity.request, end: "abandoned" });
   }
 
+  #sendAdoption(grant: OpenGrant): void {
+    const { capacity, endpoint, emittedTokens } = grant;
+    grant.link.send({ type: "stream_adopted", stream: { capacity, endpoint, emittedTokens } });
+  }
+
   #cancelAsk(ask: Ask): void {
     if (!this.#asks.has(ask.capacity.request)) return;
     ask.link.send({
@@ -241,6 +287,7 @@
     if (ask === undefined || ask.link !== link) return;
     const next = isWorthAskingOthers(effect.reason) ? ask.steps.shift() : undefined;
     if (next !== undefined) return this.#sendAsk(ask, next);
+    if (effect.reason === "no_endpoint" && ask.reroutesLeft > 0) return this.#rerouteAsk(ask);
     ask.resolve(
       neverthrow.err({
         reason: effect.reason,
--- a/packages/entry/src/capacity_router.ts
+++ b/packages/entry/src/capacity_router.ts
@@ -26,6 +26,8 @@
   readonly getFleet: () => fleets.Fleet;
   readonly getMonitor: () => monitors.EngineMonitor;
   readonly onEffect: (effect: policy.SchedulerEffect, link: client.CapacityLink) => void;
+  /** Called when the way to an owner has been opened anew. */
+  readonly onReopened: (link: client.CapacityLink) => void;
 }
 
 /** Silence of a peer after which its scheduler counts as unreachable. */
@@ -119,6 +121,11 @@
     for (const effect of effects) this.#options.onEffect(effect, remote);
   }
 
+  onLinkOpened(link: peers.PeerLink): void {
+    const remote = this.#remotes.get(link.peer!.process);
+    if (remote !== undefined) this.#options.onReopened(remote);
+  }
+
   onLinkLost(link: peers.PeerLink): void {
     const origin = this.#origins.get(link);
     if (origin === undefined) return;
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -194,6 +194,7 @@
     getFleet: () => fleet,
     getMonitor: () => monitor,
     onEffect: (effect, link) => client.onEffect(effect, link),
+    onReopened: (link) => client.registerAgain(link),
   });
   const client = new capacityClients.CapacityClient({ chooser: router });
   const monitor = new monitors.EngineMonitor(runtime, {
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -12,6 +12,7 @@
 export interface CapacityMessageHandler {
   onEvents(link: peers.PeerLink, events: readonly policy.SchedulerEvent[]): void;
   onEffects(link: peers.PeerLink, effects: readonly policy.SchedulerEffect[]): void;
+  onLinkOpened(link: peers.PeerLink): void;
   onLinkLost(link: peers.PeerLink): void;
 }
 
@@ -214,7 +215,9 @@
     link.send({ type: "updates", updates: this.membership.getAllUpdates() });
     const endpoints = this.#options.directory.table.getAll();
     if (endpoints.length > 0) link.send({ type: "endpoints", endpoints });
-    if (link.outgoing) link.send(this.#createHeartbeat(true));
+    if (!link.outgoing) return;
+    link.send(this.#createHeartbeat(true));
+    this.#options.capacity.onLinkOpened(link);
   }
 
   #recordPeer(link: peers.PeerLink, info: policy.MemberInfo, now: number): void {
--- a/packages/peers/src/peer_mesh.ts
+++ b/packages/peers/src/peer_mesh.ts
@@ -103,8 +103,11 @@
     }
   }
 
-  /** Closes outgoing links that have been silent for longer than `silenceMs`. */
+  /** Closes links that have been silent for longer than `silenceMs`. */
   closeSilent(silenceMs: number, now: number): void {
+    for (const link of this.#incoming) {
+      if (now - link.heardAt > silenceMs) link.close();
+    }
     for (const peer of this.#outgoing.values()) {
       if (peer.link !== undefined && now - peer.link.heardAt > silenceMs) peer.link.close();
     }
--- a/packages/policy/src/rank_reserve.ts
+++ b/packages/policy/src/rank_reserve.ts
@@ -3,6 +3,9 @@
 /** Time in which a remembered peak halves. */
 const PEAK_HALF_LIFE_MS = 20_000;
 
+/** Weight that a value keeps with each further one. */
+const MEAN_FORGETTING = 0.98;
+
 /** A peak that decays. */
 export class DecayingPeak {
   #peak = 0;
@@ -46,3 +49,20 @@
     return this.#sum * Math.exp(-(now - this.#updatedAt) / this.#windowMs);
   }
 }
+
+/** A mean in which older values fade with each new one. */
+export class DecayingMean {
+  #sum = 0;
+  #weight = 0;
+
+  /** Records a value. */
+  recordValue(value: number): void {
+    this.#sum = this.#sum * MEAN_FORGETTING + value;
+    this.#weight = this.#weight * MEAN_FORGETTING + 1;
+  }
+
+  /** The mean; 0 before the first value. */
+  getMean(): number {
+    return this.#weight === 0 ? 0 : this.#sum / this.#weight;
+  }
+}
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -32,6 +32,8 @@
   readonly shares: shares.RankShares;
   /** When capacity last ran out; requests are not queued against a rate older than that. */
   saturatedAt: number;
+  /** Milliseconds from a stream's grant to its end; 0 while none has ended. */
+  readonly residence: reserves.DecayingMean;
 }
 
 /** Options of a scheduler. */
@@ -168,7 +170,9 @@
   }
 
   #addRequest(capacity: types.CapacityRequest, now: number): void {
-    if (this.#queued.has(capacity.request) || this.#streams.has(capacity.request)) return;
+    if (this.#queued.has(capacity.request)) return;
+    const granted = this.#streams.get(capacity.request);
+    if (granted !== undefined) return this.#repeatGrant(capacity.request, granted);
     const refusal = this.#getRefusal(capacity);
     if (refusal !== undefined) return this.#refuse(capacity, refusal, now);
     const model = this.#getModel(capacity.model);
@@ -193,6 +197,12 @@
     this.#refuse(capacity, "queue_too_long", now, waitMs);
   }
 
+  /** The first answer may have been lost. */
+  #repeatGrant(request: core.RequestId, engine: engines.EngineState): void {
+    const { endpoint } = engine.info;
+    this.#effects.push({ type: "granted", request, endpoint, queuedMs: 0 });
+  }
+
   #getRefusal(
     capacity: types.CapacityRequest,
   ): types.RefusalReason | undefined {
@@ -252,6 +262,9 @@
     if (end === "completed" && stream.emittedTokens < stream.capacity.maxTokens) {
       this.#predictor.recordEnd(stream.capacity, stream.emittedTokens);
     }
+    if (stream.emittedTokens > 0) {
+      this.#getModel(stream.capacity.model).residence.recordValue(now - stream.grantedAt);
+    }
     this.#closeStream(engine, stream);
     // Until the engine's state is read again, no request should try it.
     if (end === "unreachable") engine.info = { ...engine.info, accepting: false };
@@ -411,12 +424,16 @@
     let total = 0;
     let urgent = 0;
     let floors = 0;
+    let open = 0;
     for (const other of model.ranks) {
       const rate = other.grants.getRate(now);
       total += rate;
+      open += other.openStreams;
       if (other.order < rank.order) urgent += rate;
       else if (other !== rank) floors += this.#manifest?.ranks.get(other.name)?.floor ?? 0;
     }
+    // After a lull past grants say little; streams end at the rate of open ones over their time.
+    total = Math.max(total, open / model.residence.getMean() * 1000);
     return Math.max(rank.grants.getRate(now), total * (1 - floors) - urgent);
   }
 
@@ -523,6 +540,7 @@
         ranks: [],
         shares: new shares.RankShares(),
         saturatedAt: -Infinity,
+        residence: new reserves.DecayingMean(),
       };
       this.#models.set(name, model);
       if (this.#manifest !== undefined) {
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -24,6 +24,8 @@
 }
 
 const EXIT_POLL_MS = 100;
+/** Time for which an engine that has left still answers. */
+const EXIT_DELAY_MS = 10_000;
 
 const program = sade("standin");
 program.option("--host", "Address to listen at", "127.0.0.1").option(
@@ -71,10 +73,9 @@
     });
     process.on("SIGTERM", () => {
       standin.startLeaving();
-      setInterval(
-        () => standin.runningCount === 0 && process.exit(0),
-        EXIT_POLL_MS,
-      );
+      setInterval(() => {
+        if (standin.runningCount === 0) setTimeout(() => process.exit(0), EXIT_DELAY_MS);
+      }, EXIT_POLL_MS);
     });
     writeAddress(await standin.start());
   });
--- a/packages/standins/src/test_bed.ts
+++ b/packages/standins/src/test_bed.ts
@@ -92,7 +92,7 @@
     zone: string,
     options: readonly string[] = [],
   ): Promise<Started> {
-    const models = ["--models", "layout-7b@v1"];
+    const models = options.includes("--models") ? [] : ["--models", "layout-7b@v1"];
     const started = await this.#startStandin(["engine", ...models, ...options]);
     this.vms.push({
       address: started.address,
