--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -53,6 +53,8 @@
 const MIN_PREPAID_TOKENS = 16;
 /** Share of a prompt token's cost against a generated token. */
 const PROMPT_TOKEN_COST = 0.05;
+/** Time from a grant to the first token, about. */
+const START_MARGIN_MS = 100;
 const MIN_RETRY_AFTER_MS = 1_000;
 const MAX_IDLE_WORKSPACES = 4_096;
 /** Adopted streams that wait for their engine. */
@@ -179,7 +181,7 @@
     const rank = getRank(model, capacity.rank);
     const item = {
       workspace: capacity.workspace,
-      startBy: capacity.startBy,
+      startBy: capacity.startBy - START_MARGIN_MS,
       arrivedAt: now,
       capacity,
     };
@@ -192,7 +194,7 @@
       return this.#refuse(capacity, "busy", now);
     }
     const waitMs = this.#predictWaitMs(model, rank, capacity.workspace, now);
-    if (now + waitMs <= capacity.startBy) return;
+    if (now + waitMs <= item.startBy) return;
     this.#unqueue(rank, item);
     this.#refuse(capacity, "queue_too_long", now, waitMs);
   }
