Keep one slot an engine for workspaces below their share

Change: a workspace with more than 1.5 times its share of a rank's open streams leaves one slot of each engine free.

--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -11,6 +11,7 @@
 import * as reserves from "./rank_reserve.ts";
 import * as shares from "./rank_shares.ts";
 import type * as types from "./scheduler_types.ts";
+import * as workspaces from "./workspace_shares.ts";
 
 interface QueuedRequest extends queues.QueueItem {
   readonly capacity: types.CapacityRequest;
@@ -21,6 +22,7 @@
   readonly order: number;
   readonly queue: queues.FairQueue<QueuedRequest>;
   readonly grants: reserves.DecayingRate;
+  readonly workspaces: workspaces.WorkspaceShares;
   /** Most streams of the rank that were open lately. */
   readonly openPeak: reserves.DecayingPeak;
   openStreams: number;
@@ -55,6 +57,8 @@
 const PROMPT_TOKEN_COST = 0.05;
 /** Time from a grant to the first token, about. */
 const START_MARGIN_MS = 100;
+/** Slots that workspaces with more than their share leave to the others. */
+const LIGHT_SLOTS_PER_ENGINE = 1;
 const MIN_RETRY_AFTER_MS = 1_000;
 const MAX_IDLE_WORKSPACES = 4_096;
 /** Adopted streams that wait for their engine. */
@@ -362,11 +366,13 @@
     now: number,
   ): engines.EngineState | undefined {
     const survival = this.#predictor.getSurvival(capacity);
-    const keepFree = this.#countReserved(model, rank, now);
+    let keepFree = this.#countReserved(model, rank, now);
+    const lightSlots = rank.workspaces.isHeavy(capacity.workspace) ? LIGHT_SLOTS_PER_ENGINE : 0;
     let openSlots = 0;
     const candidates: engines.EngineState[] = [];
     for (const engine of this.#engines.values()) {
       if (!isServing(engine, capacity)) continue;
+      keepFree += lightSlots;
       const slots = this.#getMaxBatch(engine) - engine.streams.size;
       if (slots <= 0) continue;
       openSlots += slots;
@@ -462,6 +468,7 @@
     engine.prefixes.recordPrompt(capacity.prefixes);
     this.#streams.set(capacity.request, engine);
     rank.openStreams += 1;
+    rank.workspaces.recordOpened(capacity.workspace, this.#getWeight(capacity.workspace));
     rank.openPeak.recordValue(rank.openStreams, now);
     const promptCost = capacity.promptTokens * PROMPT_TOKEN_COST;
     this.#chargeTokens(capacity, stream.prepaidTokens + promptCost);
@@ -482,6 +489,7 @@
       stream.capacity.rank,
     );
     rank.openStreams -= 1;
+    rank.workspaces.recordClosed(stream.capacity.workspace);
     this.#chargeTokens(stream.capacity, -stream.prepaidTokens);
   }
 
@@ -599,6 +607,7 @@
     order,
     queue: old?.queue ?? new queues.FairQueue<QueuedRequest>(),
     grants: old?.grants ?? new reserves.DecayingRate(GRANT_RATE_WINDOW_MS),
+    workspaces: old?.workspaces ?? new workspaces.WorkspaceShares(),
     openPeak: old?.openPeak ?? new reserves.DecayingPeak(),
     openStreams: old?.openStreams ?? 0,
   };
