--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -211,7 +211,7 @@
     self: {
       process,
       zone,
-      address: `${settings.peers.host}:${settings.peers.port}`,
+      address: settings.peers.advertise ?? `${settings.peers.host}:${settings.peers.port}`,
       cores: settings.cores,
       incarnation: Math.floor(runtime.clock.readWallTime()),
       draining: false,
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -34,6 +34,8 @@
   peers: valibot.strictObject({
     host: textSchema,
     port: portSchema,
+    /** Address at which other processes reach this one, if it is not the one listened at. */
+    advertise: valibot.optional(textSchema),
     /** Addresses of peers to ask while the VM list cannot be read. */
     seeds: valibot.optional(valibot.array(textSchema, "must be a list"), []),
   }),
--- a/packages/standins/src/test_bed.ts
+++ b/packages/standins/src/test_bed.ts
@@ -140,17 +140,20 @@
       readonly peers?: string;
       readonly cores?: number;
       readonly seeds?: readonly string[];
+      /** Address at which peers reach it, when it is not its own. */
+      readonly advertised?: string;
     } = {},
   ): Promise<StartedEntry> {
     const peers = options.peers ?? `${HOST}:${await getFreePort()}`;
+    const advertise = options.advertised ? `advertise: "${options.advertised}", ` : "";
+    const seeds = JSON.stringify(options.seeds ?? []);
+    const port = peers.split(":")[1];
     const settings = `process: ${name}
 zone: ${zone}
 cores: ${options.cores ?? 1}
 callers: { host: ${HOST}, port: 0 }
 operators: { host: ${HOST}, port: 0 }
-peers: { host: ${HOST}, port: ${peers.split(":")[1]}, seeds: ${
-      JSON.stringify(options.seeds ?? [])
-    } }
+peers: { host: ${HOST}, port: ${port}, ${advertise}seeds: ${seeds} }
 platform: { url: "http://${options.platform ?? this.#platform}", timeout_ms: 500 }
 cursor_secret: a-secret-for-tests-only
 ${options.extra ?? ""}`;
@@ -158,7 +161,7 @@
     fs.writeFileSync(file, settings);
     if (!this.vms.some((line) => line.process === name)) {
       this.vms.push({
-        address: peers,
+        address: options.advertised ?? peers,
         zone,
         role: "entry",
         state: "live",
