Make control traffic fit the size designed for: reports, manifests, waits

Cause: worked out at 320 processes, three things broke the budget of 14 KB and 1.2% of a core. (1) Each open stream was reported every 100 ms, 85 bytes a time: 110 KB a second of a process with 131 streams. (2) A release was sent in full to every neighbour, about 28 copies of 184 KB with 3,300 workspaces. (3) Parsing that manifest blocked the loop for 0.4 to 0.7 s, in every process. Also found while reading: with nothing ever served, the predicted wait was NaN, and a request was refused instead of waiting for an engine to return. Change: (1) reports come after a quarter more tokens, with short ids and without field names; the owner fills in what it expects meanwhile. (2) Peers are told of a release and ask one of them for it. (3) The record holds the document in JSON beside the YAML. The scheduler's ranks and wait prediction are a module of their own; schemas that documents share stand once.

--- a/packages/bench/src/dispatchers.ts
+++ b/packages/bench/src/dispatchers.ts
@@ -237,7 +237,9 @@
   }
 
   #sendReports(): void {
-    for (const open of this.#open.values()) this.#sendReport(open);
+    for (const open of this.#open.values()) {
+      if (policy.isReportDue(open.run.generated, open.unreported)) this.#sendReport(open);
+    }
   }
 
   #sendReport(open: OpenRequest): void {
--- a/packages/core/src/manifest.ts
+++ b/packages/core/src/manifest.ts
@@ -7,6 +7,7 @@
 import * as valibot from "valibot";
 import * as document from "./document.ts";
 import type * as ids from "./ids.ts";
+import * as schemas from "./schemas.ts";
 
 /** A model that engines serve. */
 export interface ModelSpec {
@@ -90,30 +91,26 @@
     "must be lower-case letters, digits, '.', '_' or '-', at most 63",
   ),
 );
-const releaseSchema = createIntegerSchema(1, MAX_RELEASE);
-const durationSchema = createIntegerSchema(1, MAX_DURATION_MS);
-const countSchema = createIntegerSchema(1, MAX_COUNT);
+const releaseSchema = schemas.createIntegerSchema(1, MAX_RELEASE);
+const durationSchema = schemas.createIntegerSchema(1, MAX_DURATION_MS);
+const countSchema = schemas.createIntegerSchema(1, MAX_COUNT);
 const shareSchema = valibot.pipe(
   valibot.number("must be a number"),
   valibot.minValue(0, "must be at least 0"),
   valibot.maxValue(0.9, "must be at most 0.9"),
 );
 const booleanSchema = valibot.boolean("must be true or false");
-const textSchema = valibot.pipe(
-  valibot.string("must be a string"),
-  valibot.nonEmpty("must not be empty"),
-);
 
 const manifestSchema = valibot.strictObject({
   release: releaseSchema,
   models: createTableSchema(valibot.strictObject({
-    version: textSchema,
-    adapters: valibot.optional(valibot.array(textSchema, "must be a list"), []),
+    version: schemas.textSchema,
+    adapters: valibot.optional(valibot.array(schemas.textSchema, "must be a list"), []),
     replicas: countSchema,
-    max_output_tokens: createIntegerSchema(1, MAX_OUTPUT_TOKENS),
+    max_output_tokens: schemas.createIntegerSchema(1, MAX_OUTPUT_TOKENS),
   })),
   ranks: createTableSchema(valibot.strictObject({
-    order: createIntegerSchema(0, 15),
+    order: schemas.createIntegerSchema(0, 15),
     first_token_ms: durationSchema,
     between_tokens_ms: durationSchema,
     deadline_ms: durationSchema,
@@ -141,7 +138,7 @@
             "must be GET, HEAD, POST, PUT, PATCH or DELETE",
           ),
           path: valibot.pipe(
-            textSchema,
+            schemas.textSchema,
             valibot.startsWith("/", "must start with '/'"),
           ),
           idempotent: booleanSchema,
@@ -157,7 +154,7 @@
       fencing: valibot.optional(booleanSchema, false),
       max_concurrent_loads: valibot.optional(countSchema, 1),
       standby: valibot.optional(
-        valibot.array(textSchema, "must be a list"),
+        valibot.array(schemas.textSchema, "must be a list"),
         [],
       ),
     }),
@@ -294,12 +291,3 @@
 function createTableSchema<T extends valibot.GenericSchema>(entry: T) {
   return valibot.record(nameSchema, entry, "must be a table");
 }
-
-function createIntegerSchema(min: number, max: number) {
-  return valibot.pipe(
-    valibot.number("must be a number"),
-    valibot.integer("must be a whole number"),
-    valibot.minValue(min, `must be at least ${min}`),
-    valibot.maxValue(max, `must be at most ${max}`),
-  );
-}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -10,4 +10,5 @@
 export * from "./outcome.ts";
 export * from "./random.ts";
 export * from "./runtime.ts";
+export * from "./schemas.ts";
 export * from "./timeout.ts";
--- a/packages/entry/src/capacity_client.ts
+++ b/packages/entry/src/capacity_client.ts
@@ -1,7 +1,7 @@
 /** Asks the owners of engines for capacity on behalf of this process's requests. */
 
 import * as core from "@peridotvale/core";
-import type * as policy from "@peridotvale/policy";
+import * as policy from "@peridotvale/policy";
 import * as neverthrow from "neverthrow";
 
 /** A way to one owner's scheduler. */
@@ -182,10 +182,10 @@
     }
   }
 
-  /** Reports generated tokens to the owners, in batches. */
+  /** Reports generated tokens to the owners where a report is due. */
   sendReports(): void {
     for (const grant of this.#grants.values()) {
-      if (grant.unreportedTokens === 0) continue;
+      if (!policy.isReportDue(grant.emittedTokens, grant.unreportedTokens)) continue;
       grant.link.send({
         type: "tokens_generated",
         request: grant.capacity.request,
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -72,7 +72,7 @@
 /** Time after unreadiness in which the balancer may still send requests. */
 const UNREADY_GRACE_MS = 1_500;
 const DRAIN_POLL_MS = 20;
-const NONCE_BYTES = 5;
+const NONCE_BYTES = 8;
 const MAX_SEED = 2 ** 31;
 
 /** Starts an entry process. */
@@ -151,7 +151,7 @@
 ): fronts.Front {
   const { runtime, settings, directory, metrics, decisions, process } = parts;
   const limits = settingsModule.getLimits(settings);
-  const createNonce = () => crypto.randomBytes(NONCE_BYTES).toString("hex");
+  const createNonce = () => crypto.randomBytes(NONCE_BYTES).toString("base64url");
   const retryBudget = new policy.RetryBudget();
   const shared = { runtime, directory, metrics, decisions, retryBudget, createNonce };
   return new fronts.Front({
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -54,6 +54,8 @@
 const LINK_SILENCE_MS = 3_000;
 /** Processes of a zone that watch the platform for all. */
 const WATCHERS_PER_ZONE = 2;
+/** Wait for a manifest from one peer before another one is asked. */
+const MANIFEST_WAIT_MS = 500;
 const EXPLAIN_WAIT_MS = 400;
 const SEED_PREFIX = "seed:";
 
@@ -67,6 +69,8 @@
   readonly #queries = new Map<number, OpenQuery>();
   #nextQuery = 0;
   #heartbeats = 0;
+  #wantedRelease = 0;
+  #wantedUntil = -Infinity;
   #seenVersion = -1;
 
   constructor(
@@ -166,9 +170,9 @@
     }
   }
 
-  /** Passes a manifest on that has just come into force. */
-  sendManifest(record: policy.ManifestRecord): void {
-    this.#sendAll({ type: "manifest", record });
+  /** Tells every peer at once of a release that has just come into force. */
+  sendRelease(): void {
+    this.#sendAll(this.#createHeartbeat(false));
   }
 
   #sendAll(message: peers.PeerMessage): void {
@@ -252,6 +256,8 @@
       case "updates":
         this.membership.handle({ type: "updates_received", updates: message.updates }, now);
         return;
+      case "manifest_wanted":
+        return this.#sendManifest(link);
       case "manifest":
         this.#options.manifests.applyRecord(message.record, `peer ${link.peer!.process}`);
         return;
@@ -292,13 +298,24 @@
       groups: message.groups,
       releaseSince: isSame ? known.releaseSince : now,
     });
-    const record = this.#options.manifests.record;
-    if (record !== undefined && message.release < record.release) {
-      link.send({ type: "manifest", record });
-    }
+    this.#collectManifest(link, message.release, now);
     if (message.ask) link.send(this.#createHeartbeat(false));
   }
 
+  /** Takes a higher release from one peer at a time, since a manifest may be large. */
+  #collectManifest(link: peers.PeerLink, release: number, now: number): void {
+    const inForce = this.#options.manifests.record?.release ?? 0;
+    if (release <= Math.max(inForce, now < this.#wantedUntil ? this.#wantedRelease : 0)) return;
+    this.#wantedRelease = release;
+    this.#wantedUntil = now + MANIFEST_WAIT_MS;
+    link.send({ type: "manifest_wanted" });
+  }
+
+  #sendManifest(link: peers.PeerLink): void {
+    const { record } = this.#options.manifests;
+    if (record !== undefined) link.send({ type: "manifest", record });
+  }
+
   #applyEndpoints(endpoints: readonly policy.ListedEndpoint[]): void {
     const news = this.#options.directory.applyNews(endpoints);
     if (news.length === 0) return;
@@ -324,6 +341,6 @@
     () => fleet.mesh.stop(),
     runtime.registerInterval((now) => fleet.runTick(now), TICK_INTERVAL_MS),
     runtime.registerInterval(() => fleet.sendHeartbeats(), HEARTBEAT_INTERVAL_MS),
-    runtime.registerListener(topics.MANIFEST_APPLIED, ({ record }) => fleet.sendManifest(record)),
+    runtime.registerListener(topics.MANIFEST_APPLIED, () => fleet.sendRelease()),
   );
 }
--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -413,9 +413,7 @@
       this.#attempts === 0 ? 0 : this.#now(),
     );
     return {
-      request: core.createId<core.RequestId>(
-        `${this.#ask.request}~${this.#nonce}`,
-      ),
+      request: core.createId<core.RequestId>(this.#nonce),
       workspace: this.#ask.workspace,
       rank: this.#resolved.rank,
       model: this.#ask.model,
--- a/packages/entry/src/manifest_agent.ts
+++ b/packages/entry/src/manifest_agent.ts
@@ -91,7 +91,7 @@
       known?.submission === record.submission &&
       known.release === record.release
     ) return "same";
-    const parsed = core.parseManifest(record.text, { source: "manifest" });
+    const parsed = core.parseManifest(record.json, { source: "manifest" });
     if (parsed.isErr()) {
       this.#runtime.logger.write("manifest_unreadable", {
         release: record.release,
@@ -134,11 +134,9 @@
     if (parsed.isErr()) {
       return neverthrow.err({ type: "invalid", problems: parsed.error });
     }
-    const record = {
-      release: parsed.value.release,
-      submission: options.submission,
-      text,
-    };
+    const { submission } = options;
+    const { release } = parsed.value;
+    const record = { release, submission, text, json: core.convertToJson(text) };
     if (record.release <= options.base) {
       const message = `release ${record.release} is not above its base ${options.base}`;
       return neverthrow.err({ type: "not_accepted", message });
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -11,41 +11,37 @@
 const DEFAULT_MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 const MIN_SECRET_LENGTH = 16;
 
-const textSchema = valibot.pipe(
-  valibot.string("must be a string"),
-  valibot.nonEmpty("must not be empty"),
-);
-const portSchema = createCountSchema(0, 65_535);
+const portSchema = core.createIntegerSchema(0, 65_535);
 const listenSchema = valibot.strictObject({
-  host: textSchema,
+  host: core.textSchema,
   port: portSchema,
 });
-const limitSchema = createCountSchema(1, 2 ** 31);
-const durationSchema = createCountSchema(1, 3_600_000);
+const limitSchema = core.createIntegerSchema(1, 2 ** 31);
+const durationSchema = core.createIntegerSchema(1, 3_600_000);
 
 const settingsSchema = valibot.strictObject({
   /** Identity; stable over restarts at the same address. */
-  process: textSchema,
-  zone: textSchema,
+  process: core.textSchema,
+  zone: core.textSchema,
   /** Cores of the VM that this process may use, as its weight among processes. */
-  cores: valibot.optional(createCountSchema(1, 1024), 1),
+  cores: valibot.optional(core.createIntegerSchema(1, 1024), 1),
   callers: listenSchema,
   operators: listenSchema,
   peers: valibot.strictObject({
-    host: textSchema,
+    host: core.textSchema,
     port: portSchema,
     /** Address at which other processes reach this one, if it is not the one listened at. */
-    advertise: valibot.optional(textSchema),
+    advertise: valibot.optional(core.textSchema),
     /** Addresses of peers to ask while the VM list cannot be read. */
-    seeds: valibot.optional(valibot.array(textSchema, "must be a list"), []),
+    seeds: valibot.optional(valibot.array(core.textSchema, "must be a list"), []),
   }),
   platform: valibot.strictObject({
-    url: valibot.pipe(textSchema, valibot.url("must be a URL")),
+    url: valibot.pipe(core.textSchema, valibot.url("must be a URL")),
     timeout_ms: valibot.optional(durationSchema, 1_000),
   }),
   /** Secret of the cursors; the same for all entry processes. */
   cursor_secret: valibot.pipe(
-    textSchema,
+    core.textSchema,
     valibot.minLength(
       MIN_SECRET_LENGTH,
       `must have at least ${MIN_SECRET_LENGTH} characters`,
@@ -118,12 +114,3 @@
     drainMs: timeouts.drain_ms ?? 600_000,
   };
 }
-
-function createCountSchema(min: number, max: number) {
-  return valibot.pipe(
-    valibot.number("must be a number"),
-    valibot.integer("must be a whole number"),
-    valibot.minValue(min, `must be at least ${min}`),
-    valibot.maxValue(max, `must be at most ${max}`),
-  );
-}
--- a/packages/peers/src/codec.ts
+++ b/packages/peers/src/codec.ts
@@ -2,6 +2,8 @@
 
 import * as msgpackr from "msgpackr";
 import * as neverthrow from "neverthrow";
+import type * as core from "@peridotvale/core";
+import type * as policy from "@peridotvale/policy";
 import type * as messages from "./messages.ts";
 
 /** Version of the protocol; a link between different versions is refused. */
@@ -15,6 +17,7 @@
   "hello",
   "heartbeat",
   "updates",
+  "manifest_wanted",
   "manifest",
   "endpoints",
   "capacity_events",
@@ -33,9 +36,17 @@
   groups: readonly number[],
 ];
 
+/** Capacity events as they travel: reports of tokens, which come first, as pairs. */
+type WireEvents = readonly [
+  reports: readonly (string | number)[],
+  events: readonly policy.SchedulerEvent[],
+];
+
+type Wire = messages.PeerMessage | WireHeartbeat | WireEvents;
+
 /** Encodes a message as one frame. */
 export function encodeMessage(message: messages.PeerMessage): Uint8Array {
-  const body = packr.pack(message.type === "heartbeat" ? encodeHeartbeat(message) : message);
+  const body = packr.pack(createWire(message));
   const frame = new Uint8Array(body.length + 1);
   frame[0] = PROTOCOL_VERSION;
   frame.set(body, 1);
@@ -51,8 +62,7 @@
     return neverthrow.err(`protocol version ${frame[0]} instead of ${PROTOCOL_VERSION}`);
   }
   try {
-    const unpacked = packr.unpack(frame.subarray(1)) as messages.PeerMessage | WireHeartbeat;
-    const message = isWireHeartbeat(unpacked) ? decodeHeartbeat(unpacked) : unpacked;
+    const message = readWire(packr.unpack(frame.subarray(1)) as Wire);
     if (!TYPES.has(message?.type)) return neverthrow.err("unknown type of message");
     return neverthrow.ok(message);
   } catch (error) {
@@ -60,10 +70,17 @@
   }
 }
 
-function isWireHeartbeat(
-  unpacked: messages.PeerMessage | WireHeartbeat,
-): unpacked is WireHeartbeat {
-  return Array.isArray(unpacked);
+function createWire(message: messages.PeerMessage): Wire {
+  if (message.type === "heartbeat") return encodeHeartbeat(message);
+  if (message.type === "capacity_events") return encodeEvents(message);
+  return message;
+}
+
+function readWire(wire: Wire): messages.PeerMessage {
+  if (!Array.isArray(wire)) return wire as messages.PeerMessage;
+  const [first] = wire as readonly unknown[];
+  if (Array.isArray(first)) return decodeEvents(wire as unknown as WireEvents);
+  return decodeHeartbeat(wire as unknown as WireHeartbeat);
 }
 
 function encodeHeartbeat(message: messages.HeartbeatMessage): WireHeartbeat {
@@ -87,3 +104,22 @@
   }
   return { type: "heartbeat", incarnation, draining, release, openRequests, ask, groups };
 }
+
+function encodeEvents(message: messages.CapacityEventsMessage): WireEvents {
+  const reports: (string | number)[] = [];
+  const events: policy.SchedulerEvent[] = [];
+  for (const event of message.events) {
+    if (event.type === "tokens_generated") reports.push(event.request, event.tokens);
+    else events.push(event);
+  }
+  return [reports, events];
+}
+
+function decodeEvents([reports, others]: WireEvents): messages.CapacityEventsMessage {
+  const events: policy.SchedulerEvent[] = [];
+  for (let index = 0; index + 1 < reports.length; index += 2) {
+    const request = reports[index] as core.RequestId;
+    events.push({ type: "tokens_generated", request, tokens: Number(reports[index + 1]) });
+  }
+  return { type: "capacity_events", events: [...events, ...others] };
+}
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -37,6 +37,11 @@
   readonly updates: readonly policy.MemberUpdate[];
 }
 
+/** Asks for the manifest in force at the receiver, whose heartbeat told of a higher release. */
+export interface ManifestWantedMessage {
+  readonly type: "manifest_wanted";
+}
+
 /** A manifest that is in force at the sender. */
 export interface ManifestMessage {
   readonly type: "manifest";
@@ -87,6 +92,7 @@
   | HelloMessage
   | HeartbeatMessage
   | UpdatesMessage
+  | ManifestWantedMessage
   | ManifestMessage
   | EndpointsMessage
   | CapacityEventsMessage
--- a/packages/policy/src/engine_state.ts
+++ b/packages/policy/src/engine_state.ts
@@ -4,6 +4,7 @@
 import type * as lengths from "./length_predictor.ts";
 import * as forecasts from "./memory_forecast.ts";
 import * as prefixes from "./prefix_belief.ts";
+import * as reports from "./report_policy.ts";
 import * as speeds from "./speed_model.ts";
 import type * as types from "./scheduler_types.ts";
 
@@ -72,10 +73,11 @@
     if (now - this.#forecastAt < FORECAST_MAX_AGE_MS) return;
     this.#forecastAt = now;
     this.#forecast = new forecasts.MemoryForecast();
+    const tokenMs = this.speed.predictTokenMs(this.streams.size);
     for (const stream of this.streams.values()) {
-      this.#forecast.addStream(
-        createShape(stream, predictor.getSurvival(stream.capacity)),
-      );
+      const survival = predictor.getSurvival(stream.capacity);
+      const unreported = estimateUnreported(stream, tokenMs, now);
+      this.#forecast.addStream(createShape(stream, survival, unreported));
     }
     this.#recordOwnMemory(now);
   }
@@ -147,11 +149,19 @@
 function createShape(
   stream: ActiveStream,
   survival: lengths.Survival,
+  unreportedTokens = 0,
 ): forecasts.StreamShape {
   return {
     promptTokens: stream.capacity.promptTokens,
-    emittedTokens: stream.emittedTokens,
+    emittedTokens: stream.emittedTokens + unreportedTokens,
     maxTokens: stream.capacity.maxTokens,
     survival,
   };
 }
+
+/** Tokens that a stream has probably generated since its last report. */
+function estimateUnreported(stream: ActiveStream, tokenMs: number, now: number): number {
+  if (stream.emittedTokens === 0) return 0;
+  const expected = (now - stream.lastReportAt) / tokenMs;
+  return Math.min(expected, reports.getReportTokens(stream.emittedTokens));
+}
--- a/packages/policy/src/manifest_register.ts
+++ b/packages/policy/src/manifest_register.ts
@@ -7,8 +7,10 @@
   readonly release: core.Release;
   /** Identifies the submission that made the release. */
   readonly submission: string;
-  /** The YAML document. */
+  /** The YAML document, as it was submitted. */
   readonly text: string;
+  /** The same document in JSON. */
+  readonly json: string;
 }
 
 /** What follows from hearing of a record. */
--- a/packages/policy/src/order_planner_test.ts
+++ b/packages/policy/src/order_planner_test.ts
@@ -69,7 +69,12 @@
     const register = new manifests.ManifestRegister();
     let highest = 0;
     for (const [index, release] of releases.entries()) {
-      const record = { release: core.createRelease(release), submission: `s${index}`, text: "" };
+      const record = {
+        release: core.createRelease(release),
+        submission: `s${index}`,
+        text: "",
+        json: "",
+      };
       register.applyRecord(record, index);
       highest = Math.max(highest, release);
       if (register.record?.release !== highest) return false;
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -5,38 +5,10 @@
 
 import * as core from "@peridotvale/core";
 import * as engines from "./engine_state.ts";
-import * as queues from "./fair_queue.ts";
 import * as lengths from "./length_predictor.ts";
+import * as models from "./model_state.ts";
 import * as placement from "./placement.ts";
-import * as reserves from "./rank_reserve.ts";
-import * as shares from "./rank_shares.ts";
 import type * as types from "./scheduler_types.ts";
-import * as workspaces from "./workspace_shares.ts";
-
-interface QueuedRequest extends queues.QueueItem {
-  readonly capacity: types.CapacityRequest;
-}
-
-interface RankQueue {
-  readonly name: core.RankName;
-  readonly order: number;
-  readonly queue: queues.FairQueue<QueuedRequest>;
-  readonly grants: reserves.DecayingRate;
-  readonly workspaces: workspaces.WorkspaceShares;
-  /** Most streams of the rank that were open lately. */
-  readonly openPeak: reserves.DecayingPeak;
-  openStreams: number;
-}
-
-interface ModelState {
-  readonly name: core.ModelName;
-  ranks: RankQueue[];
-  readonly shares: shares.RankShares;
-  /** When capacity last ran out; requests are not queued against a rate older than that. */
-  saturatedAt: number;
-  /** Milliseconds from a stream's grant to its end; 0 while none has ended. */
-  readonly residence: reserves.DecayingMean;
-}
 
 /** Options of a scheduler. */
 export interface SchedulerOptions {
@@ -44,9 +16,6 @@
   readonly lengths?: lengths.LengthModel;
 }
 
-const GRANT_RATE_WINDOW_MS = 10_000;
-/** Time after running out of capacity in which grant rates count as the whole capacity. */
-const SATURATION_MEMORY_MS = 2_000;
 /** Share of the rank's target between tokens that placement may use. */
 const TOKEN_TARGET_SHARE = 0.9;
 /** Horizon at which filling memory makes undelivered streams move, in tokens. */
@@ -67,9 +36,9 @@
 /** The scheduler of the engines that one process owns. */
 export class Scheduler implements types.CapacityScheduler {
   readonly #engines = new Map<core.EndpointId, engines.EngineState>();
-  readonly #models = new Map<core.ModelName, ModelState>();
+  readonly #models = new Map<core.ModelName, models.ModelState>();
   readonly #streams = new Map<core.RequestId, engines.EngineState>();
-  readonly #queued = new Map<core.RequestId, QueuedRequest>();
+  readonly #queued = new Map<core.RequestId, models.QueuedRequest>();
   /** Adopted streams whose engine is not known yet. */
   readonly #orphans = new Map<core.RequestId, types.AdoptedStream>();
   readonly #predictor: lengths.LengthModel;
@@ -127,26 +96,14 @@
 
   #applyManifest(manifest: core.Manifest, now: number): void {
     this.#manifest = manifest;
-    for (const model of this.#models.values()) {
-      this.#updateRanks(model, manifest, now);
-    }
+    for (const model of this.#models.values()) this.#updateRanks(model, manifest);
     this.#grantAll(now);
   }
 
-  #updateRanks(model: ModelState, manifest: core.Manifest, now: number): void {
-    const kept = new Map(model.ranks.map((rank) => [rank.name, rank]));
-    model.ranks = [];
-    for (const [name, spec] of manifest.ranks) {
-      const old = kept.get(name);
-      kept.delete(name);
-      if (old?.order === spec.order) model.ranks.push(old);
-      else model.ranks.push(createRankQueue(name, spec.order, old));
-    }
-    model.ranks.sort((a, b) => a.order - b.order);
-    for (const removed of kept.values()) {
-      for (const item of removed.queue.removeExpired(Infinity)) {
-        this.#refuse(item.capacity, "unknown_rank", now);
-      }
+  #updateRanks(model: models.ModelState, manifest: core.Manifest): void {
+    for (const item of model.updateRanks(manifest)) {
+      this.#queued.delete(item.capacity.request);
+      this.#refuse(item.capacity, "unknown_rank");
     }
   }
 
@@ -180,9 +137,9 @@
     const granted = this.#streams.get(capacity.request);
     if (granted !== undefined) return this.#repeatGrant(capacity.request, granted);
     const refusal = this.#getRefusal(capacity);
-    if (refusal !== undefined) return this.#refuse(capacity, refusal, now);
+    if (refusal !== undefined) return this.#refuse(capacity, refusal);
     const model = this.#getModel(capacity.model);
-    const rank = getRank(model, capacity.rank);
+    const rank = model.getRank(capacity.rank);
     const item = {
       workspace: capacity.workspace,
       startBy: capacity.startBy - START_MARGIN_MS,
@@ -195,12 +152,13 @@
     rank.openPeak.recordValue(rank.openStreams + rank.queue.size, now);
     if (!capacity.mayQueue) {
       this.#unqueue(rank, item);
-      return this.#refuse(capacity, "busy", now);
+      return this.#refuse(capacity, "busy");
     }
-    const waitMs = this.#predictWaitMs(model, rank, capacity.workspace, now);
+    const weight = this.#getWeight(capacity.workspace);
+    const waitMs = model.predictWaitMs(rank, capacity.workspace, { weight, now });
     if (now + waitMs <= item.startBy) return;
     this.#unqueue(rank, item);
-    this.#refuse(capacity, "queue_too_long", now, waitMs);
+    this.#refuse(capacity, "queue_too_long", waitMs);
   }
 
   /** The first answer may have been lost. */
@@ -259,7 +217,7 @@
     const queued = this.#queued.get(request);
     if (queued !== undefined) {
       const model = this.#getModel(queued.capacity.model);
-      this.#unqueue(getRank(model, queued.capacity.rank), queued);
+      this.#unqueue(model.getRank(queued.capacity.rank), queued);
       return;
     }
     const engine = this.#streams.get(request);
@@ -269,7 +227,7 @@
       this.#predictor.recordEnd(stream.capacity, stream.emittedTokens);
     }
     if (stream.emittedTokens > 0) {
-      this.#getModel(stream.capacity.model).residence.recordValue(now - stream.grantedAt);
+      this.#getModel(stream.capacity.model).recordResidence(now - stream.grantedAt);
     }
     this.#closeStream(engine, stream);
     // Until the engine's state is read again, no request should try it.
@@ -282,7 +240,7 @@
       for (const rank of model.ranks) {
         for (const item of rank.queue.removeExpired(now)) {
           this.#queued.delete(item.capacity.request);
-          this.#refuse(item.capacity, "deadline_exceeded", now);
+          this.#refuse(item.capacity, "deadline_exceeded");
         }
         rank.queue.dropIdle(MAX_IDLE_WORKSPACES);
       }
@@ -314,7 +272,7 @@
     for (const model of this.#models.values()) this.#grantModel(model, now);
   }
 
-  #grantModel(model: ModelState, now: number): void {
+  #grantModel(model: models.ModelState, now: number): void {
     while (true) {
       const granted = this.#grantNext(model, now);
       if (!granted) return;
@@ -322,7 +280,7 @@
   }
 
   /** Grants the next request in the order of ranks; ranks that are owed their floor go first. */
-  #grantNext(model: ModelState, now: number): boolean {
+  #grantNext(model: models.ModelState, now: number): boolean {
     for (const isOwedPass of [true, false]) {
       for (const rank of model.ranks) {
         if (rank.queue.size === 0) continue;
@@ -331,7 +289,7 @@
         if (item === undefined) continue;
         const engine = this.#chooseEngine(model, rank, item.capacity, now);
         if (engine === undefined) {
-          model.saturatedAt = now;
+          model.recordSaturation(now);
           if (isOwedPass) continue;
           return false;
         }
@@ -343,8 +301,8 @@
   }
 
   #grant(
-    rank: RankQueue,
-    item: QueuedRequest,
+    rank: models.RankQueue,
+    item: models.QueuedRequest,
     engine: engines.EngineState,
     now: number,
   ): void {
@@ -360,13 +318,13 @@
   }
 
   #chooseEngine(
-    model: ModelState,
-    rank: RankQueue,
+    model: models.ModelState,
+    rank: models.RankQueue,
     capacity: types.CapacityRequest,
     now: number,
   ): engines.EngineState | undefined {
     const survival = this.#predictor.getSurvival(capacity);
-    let keepFree = this.#countReserved(model, rank, now);
+    let keepFree = model.countReserved(rank, now);
     const lightSlots = rank.workspaces.isHeavy(capacity.workspace) ? LIGHT_SLOTS_PER_ENGINE : 0;
     let openSlots = 0;
     const candidates: engines.EngineState[] = [];
@@ -391,19 +349,6 @@
     }, { prefixes: capacity.prefixes, now });
   }
 
-  /** Slots that more urgent ranks needed lately and do not hold now. */
-  #countReserved(model: ModelState, rank: RankQueue, now: number): number {
-    let reserved = 0;
-    for (const urgent of model.ranks) {
-      if (urgent.order >= rank.order) break;
-      reserved += Math.max(
-        0,
-        urgent.openPeak.getPeak(now) - urgent.openStreams,
-      );
-    }
-    return reserved;
-  }
-
   #getMaxBatch(engine: engines.EngineState): number {
     let targetMs = Infinity;
     for (const rank of this.#manifest?.ranks.values() ?? []) {
@@ -413,45 +358,13 @@
     return Math.min(engine.info.maxBatch, bySpeed);
   }
 
-  #predictWaitMs(
-    model: ModelState,
-    rank: RankQueue,
-    workspace: core.WorkspaceName,
-    now: number,
-  ): number {
-    if (now - model.saturatedAt > SATURATION_MEMORY_MS) return 0;
-    const weight = this.#getWeight(workspace);
-    const ahead = rank.queue.predictItemsAhead(workspace, weight);
-    const rate = this.#predictGrantRate(model, rank, now);
-    if (rate <= 0) return 0;
-    return ahead / rate * 1000;
-  }
-
-  /** Grants a second that the rank can have: what more urgent ranks and floors leave of all. */
-  #predictGrantRate(model: ModelState, rank: RankQueue, now: number): number {
-    let total = 0;
-    let urgent = 0;
-    let floors = 0;
-    let open = 0;
-    for (const other of model.ranks) {
-      const rate = other.grants.getRate(now);
-      total += rate;
-      open += other.openStreams;
-      if (other.order < rank.order) urgent += rate;
-      else if (other !== rank) floors += this.#manifest?.ranks.get(other.name)?.floor ?? 0;
-    }
-    // After a lull past grants say little; streams end at the rate of open ones over their time.
-    total = Math.max(total, open / model.residence.getMean() * 1000);
-    return Math.max(rank.grants.getRate(now), total * (1 - floors) - urgent);
-  }
-
   #openStream(
     engine: engines.EngineState,
     capacity: types.CapacityRequest,
     now: number,
   ): void {
     const survival = this.#predictor.getSurvival(capacity);
-    const rank = getRank(this.#getModel(capacity.model), capacity.rank);
+    const rank = this.#getModel(capacity.model).getRank(capacity.rank);
     const expected = survival.computeQuantile(0, 0.5);
     const stream = {
       capacity,
@@ -484,10 +397,7 @@
   }
 
   #recordClosed(stream: engines.ActiveStream): void {
-    const rank = getRank(
-      this.#getModel(stream.capacity.model),
-      stream.capacity.rank,
-    );
+    const rank = this.#getModel(stream.capacity.model).getRank(stream.capacity.rank);
     rank.openStreams -= 1;
     rank.workspaces.recordClosed(stream.capacity.workspace);
     this.#chargeTokens(stream.capacity, -stream.prepaidTokens);
@@ -496,34 +406,25 @@
   #chargeTokens(capacity: types.CapacityRequest, tokens: number): void {
     if (tokens === 0) return;
     const model = this.#getModel(capacity.model);
-    const rank = getRank(model, capacity.rank);
+    const rank = model.getRank(capacity.rank);
     rank.queue.chargeTokens(
       capacity.workspace,
       tokens,
       this.#getWeight(capacity.workspace),
     );
-    const floors = new Map<core.RankName, number>();
-    for (const [name, spec] of this.#manifest?.ranks ?? []) {
-      const isWaiting = getRank(model, name).queue.size > 0;
-      if (spec.floor > 0 && (isWaiting || name === rank.name)) {
-        floors.set(name, spec.floor);
-      }
-    }
-    if (floors.size > 0) {
-      model.shares.recordServed(rank.name, tokens, { floors });
-    }
+    model.recordServed(rank, tokens);
   }
 
   #getWeight(workspace: core.WorkspaceName): number {
     return this.#manifest?.workspaces.get(workspace)?.weight ?? 1;
   }
 
-  #queue(rank: RankQueue, item: QueuedRequest): void {
+  #queue(rank: models.RankQueue, item: models.QueuedRequest): void {
     this.#queued.set(item.capacity.request, item);
     rank.queue.addItem(item, this.#getWeight(item.workspace));
   }
 
-  #unqueue(rank: RankQueue, item: QueuedRequest): void {
+  #unqueue(rank: models.RankQueue, item: models.QueuedRequest): void {
     this.#queued.delete(item.capacity.request);
     rank.queue.removeItem(item);
   }
@@ -531,7 +432,6 @@
   #refuse(
     capacity: types.CapacityRequest,
     reason: types.RefusalReason,
-    _now: number,
     waitMs = 0,
   ): void {
     this.#effects.push({
@@ -542,20 +442,12 @@
     });
   }
 
-  #getModel(name: core.ModelName): ModelState {
+  #getModel(name: core.ModelName): models.ModelState {
     let model = this.#models.get(name);
     if (model === undefined) {
-      model = {
-        name,
-        ranks: [],
-        shares: new shares.RankShares(),
-        saturatedAt: -Infinity,
-        residence: new reserves.DecayingMean(),
-      };
+      model = new models.ModelState();
       this.#models.set(name, model);
-      if (this.#manifest !== undefined) {
-        this.#updateRanks(model, this.#manifest, 0);
-      }
+      if (this.#manifest !== undefined) this.#updateRanks(model, this.#manifest);
     }
     return model;
   }
@@ -578,13 +470,6 @@
   return fresh.length > 0 ? fresh : candidates;
 }
 
-function getRank(model: ModelState, name: core.RankName): RankQueue {
-  for (const rank of model.ranks) if (rank.name === name) return rank;
-  const rank = createRankQueue(name, Number.MAX_SAFE_INTEGER, undefined);
-  model.ranks.push(rank);
-  return rank;
-}
-
 function getEvictable(
   engine: engines.EngineState,
 ): engines.ActiveStream | undefined {
@@ -596,19 +481,3 @@
   }
   return chosen;
 }
-
-function createRankQueue(
-  name: core.RankName,
-  order: number,
-  old: RankQueue | undefined,
-): RankQueue {
-  return {
-    name,
-    order,
-    queue: old?.queue ?? new queues.FairQueue<QueuedRequest>(),
-    grants: old?.grants ?? new reserves.DecayingRate(GRANT_RATE_WINDOW_MS),
-    workspaces: old?.workspaces ?? new workspaces.WorkspaceShares(),
-    openPeak: old?.openPeak ?? new reserves.DecayingPeak(),
-    openStreams: old?.openStreams ?? 0,
-  };
-}
--- a/packages/policy/src/scheduler_test.ts
+++ b/packages/policy/src/scheduler_test.ts
@@ -168,6 +168,28 @@
   t.end();
 });
 
+tap.t.test("a request waits for an engine that is away for the moment", (t) => {
+  const scheduler = new schedulers.Scheduler();
+  const request = core.createId<core.RequestId>("r");
+  const createEngine = (accepting: boolean): types.SchedulerEvent => ({
+    type: "engine_updated",
+    engine: {
+      endpoint: core.createId<core.EndpointId>("e"),
+      models: [MODEL],
+      accepting,
+      memoryLimitTokens: 2_000,
+      maxBatch: MAX_BATCH,
+    },
+  });
+  scheduler.handle({ type: "manifest_changed", manifest }, 0);
+  scheduler.handle(createEngine(false), 0);
+  const step = { rank: "urgent", workspace: "a", prompt: 1 };
+  const capacity = createCapacity(request, step, 10);
+  t.same(scheduler.handle({ type: "request_arrived", capacity }, 10), []);
+  t.match(scheduler.handle(createEngine(true), 300), [{ type: "granted", request }]);
+  t.end();
+});
+
 tap.t.test("workspaces are served by weight, and a newcomer gets no credit", (t) => {
   const queue = new queues.FairQueue<queues.QueueItem & { readonly id: number }>();
   const served = new Map<string, number>();
--- a/packages/standins/src/golden.ts
+++ b/packages/standins/src/golden.ts
@@ -12,7 +12,7 @@
   [/\b(duration_ms|queued_ms|open)=\d+/g, "$1=0"],
   [/"retry_after_ms":\d+/g, '"retry_after_ms":0'],
   [/^retry-after: \d+$/gm, "retry-after: 0"],
-  [/~[0-9a-f]{10}/g, "~NONCE"],
+  [/~[\w-]{11}(?=\.)/g, "~NONCE"],
   [/[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}/g, "UUID"],
   [/\bg\d+-\d+-\d+/g, "GENERATION"],
   [/^id: \S+$/gm, "id: CURSOR"],
--- a/packages/standins/src/promise_fleet_test.ts
+++ b/packages/standins/src/promise_fleet_test.ts
@@ -2,6 +2,7 @@
 import * as caller from "./caller.ts";
 import type * as engineStandin from "./engine_standin.ts";
 import * as fleets from "./fleet_bed.ts";
+import * as relays from "./relay_standin.ts";
 import * as testBed from "./test_bed.ts";
 
 interface Status {
@@ -47,6 +48,42 @@
   });
 });
 
+tap.t.test("links between processes that go silent for good are replaced", async (t) => {
+  const bed = new testBed.TestBed();
+  t.teardown(() => bed.stop());
+  await bed.startPlatform();
+  await bed.startEngine("asahikawa");
+  const peerRelays: relays.RelayStandin[] = [];
+  t.teardown(() => {
+    for (const relay of peerRelays) relay.stop();
+  });
+  const entries: testBed.StartedEntry[] = [];
+  for (const name of ["asahikawa-1", "asahikawa-2"]) {
+    const port = await testBed.getFreePort();
+    const relay = new relays.RelayStandin({ host: "127.0.0.1", port });
+    peerRelays.push(relay);
+    const advertised = await relay.start("127.0.0.1", 0);
+    const peers = `127.0.0.1:${port}`;
+    entries.push(await bed.startEntry(name, "asahikawa", { peers, advertised }));
+  }
+  await bed.submitManifest(entries[0]!);
+  for (const entry of entries) await fleets.waitServing(entry);
+  const owner = await findOwner(entries);
+  const other = entries.find((entry) => entry !== owner)!;
+  for (const relay of peerRelays) relay.applyFaults({ blackholeOpen: true });
+  for (const transcript of await streamEvery([other])) t.ok(transcript.done);
+  await testBed.waitUntil(async () => {
+    for (const entry of entries) {
+      const status = await readStatus(entry);
+      const owners = new Set(status.endpoints.map((endpoint) => endpoint.owner));
+      if (status.processes.some((process) => process.state !== "alive")) return false;
+      if (owners.size !== 1 || !owners.has(owner.process)) return false;
+    }
+    return true;
+  }, "both are alive to each other, and agree on the owner");
+  for (const transcript of await streamEvery(entries)) t.ok(transcript.done);
+});
+
 tap.t.test("a full zone uses another zone's engines", async (t) => {
   const bed = new testBed.TestBed();
   t.teardown(() => bed.stop());
--- a/packages/standins/src/promise_leave_test.ts
+++ b/packages/standins/src/promise_leave_test.ts
@@ -47,24 +47,61 @@
   });
 });
 
+tap.t.test("a leaving plain service gets no new calls", async (t) => {
+  const bed = new testBed.TestBed();
+  t.teardown(() => bed.stop());
+  const { services: [leaving, staying], entries } = await fleets.startFleet(bed, {
+    engines: [],
+    services: 2,
+    entries: ["asahikawa", "asahikawa"],
+  });
+  const placeMany = () =>
+    Promise.all(
+      Array.from({ length: 20 }, (_, index) =>
+        caller.callService(entries[index % 2]!.address, {
+          method: "POST",
+          path: "orders/orders",
+          body: { index },
+        })),
+    );
+  await placeMany();
+  t.ok((await fleets.readServiceLedger(leaving!)).length > 0, "it gets calls at first");
+  const index = bed.vms.findIndex((line) => line.address === leaving!.address);
+  bed.vms[index] = { ...bed.vms[index]!, state: "leaving" };
+  await bed.sendVms();
+  await waitFor(LEAVE_BOUND_MS);
+  const before = (await fleets.readServiceLedger(leaving!)).length;
+  const answers = await placeMany();
+  for (const answer of answers) t.equal(answer.status, 200);
+  t.equal((await fleets.readServiceLedger(leaving!)).length, before);
+  staying!.child.kill("SIGKILL");
+  await staying!.exited;
+  const refused = await placeMany();
+  for (const answer of refused) {
+    t.equal((answer.body as { readonly outcome: string }).outcome, "not_run");
+  }
+  t.equal((await fleets.readServiceLedger(leaving!)).length, before);
+});
+
 tap.t.test("a graceful shutdown cuts no request", async (t) => {
   const bed = new testBed.TestBed();
   t.teardown(() => bed.stop());
   const { entries, services: [service] } = await fleets.startFleet(bed, {
     engines: [ENGINE, ENGINE],
     services: 1,
-    entries: ["asahikawa", "asahikawa", "asahikawa"],
+    entries: ["asahikawa", "asahikawa", "asahikawa", "asahikawa"],
   });
+  const callable = entries.slice(0, 3);
   const failures: unknown[] = [];
   let isRunning = true;
   let served = 0;
   const load = Promise.all(Array.from({ length: 12 }, async (_, worker) => {
     for (let turn = 0; isRunning; turn++) {
-      const entry = await chooseReady(entries, worker + turn);
+      const entry = await chooseReady(callable, worker + turn);
       const transcript = await caller.streamCompletion(entry.address, {
         prompt: `${worker}.${turn} [len=40]`,
       });
-      const order = await caller.callService((await chooseReady(entries, worker)).address, {
+      const order = await caller.callService((await chooseReady(callable, worker)).address, {
         method: "POST",
         path: "orders/orders",
         body: { worker, turn },
@@ -78,6 +115,8 @@
   await waitFor(800);
   entries[0]!.child.kill("SIGTERM");
   entries[0]!.child.kill("SIGTERM");
+  // A peer without callers of its own dies at the same time; it may own the engines.
+  entries[3]!.child.kill("SIGKILL");
   await waitFor(300);
   entries[1]!.child.kill("SIGTERM");
   t.ok((await long).done, "a long stream ends whole");
--- a/packages/standins/src/promise_once_test.ts
+++ b/packages/standins/src/promise_once_test.ts
@@ -162,6 +162,18 @@
     t.equal(await countOrders(service!), before + 2);
   });
 
+  await t.test("the store is slow, also beyond its timeout", async (t) => {
+    for (const [index, delayMs] of [300, 800].entries()) {
+      const before = await countOrders(service!);
+      await bed.postPlatform("faults", { delayMs });
+      const answer = await placeOrder(first!.address, { key: `slow-${index}` });
+      await bed.postPlatform("faults", {});
+      const applied = await countOrders(service!) - before;
+      t.equal(applied, answer.status === 200 ? 1 : 0, `${delayMs} ms: status ${answer.status}`);
+      if (answer.status !== 200) t.equal(answer.body.outcome, "not_run");
+    }
+  });
+
   await t.test("a holder killed between claim and answer: never run again", async (t) => {
     await fleets.applyFaults(service!, { delayMs: 600 });
     const before = await countOrders(service!);
