Read the engines' cache events

Change: engines publish which prompt prefixes they hold, late and with gaps; the owner reads them every 2 s, and a gap clears its beliefs. Dead code is gone.

--- a/packages/core/src/log.ts
+++ b/packages/core/src/log.ts
@@ -47,9 +47,6 @@
   };
 }
 
-/** A logger that drops every event. */
-export const SILENT_LOGGER: Logger = { write() {} };
-
 function convertMessage(message: string): string {
   const parsed = JSON.parse(message) as {
     context: LogFields;
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./manifest.ts";
 export * from "./network_error.ts";
 export * from "./outcome.ts";
+export * from "./prefix_hashes.ts";
 export * from "./random.ts";
 export * from "./runtime.ts";
 export * from "./schemas.ts";
--- a/packages/policy/src/prefix_hashes.ts
+++ b/packages/core/src/prefix_hashes.ts
@@ -1,6 +1,6 @@
 /** Hashes of a prompt's prefixes, by which engines that cached them are preferred. */
 
-import * as core from "@peridotvale/core";
+import * as random from "./random.ts";
 
 /** Characters of one block. */
 const BLOCK_CHARACTERS = 256;
@@ -16,7 +16,7 @@
   for (let block = 0; block < MAX_BLOCKS; block++) {
     const start = block * BLOCK_CHARACTERS;
     if (start + BLOCK_CHARACTERS > prompt.length) break;
-    const hash = core.computeHash32(
+    const hash = random.computeHash32(
       chain + prompt.slice(start, start + BLOCK_CHARACTERS),
     );
     hashes.push(hash);
--- a/packages/engines/src/engine_client.ts
+++ b/packages/engines/src/engine_client.ts
@@ -83,6 +83,17 @@
   readonly fencing: number;
 }
 
+/** Changes of an engine's prompt cache. */
+export interface CacheEvents {
+  /** Sequence number of the last event; to be asked after next time. */
+  readonly last: number;
+  /** Whether events between the one asked after and these are missing. */
+  readonly gap: boolean;
+  /** Hashes of prompt prefixes that the engine now holds. */
+  readonly added: readonly number[];
+  readonly removed: readonly number[];
+}
+
 /** A model that an engine holds. */
 export interface LoadedModel {
   readonly model: string;
@@ -125,6 +136,8 @@
     endpoint: core.EndpointId,
   ): EngineResult<readonly RunningGeneration[]>;
   readStatus(endpoint: core.EndpointId): EngineResult<EngineStatus>;
+  /** Reads the changes of the prompt cache after event number `after`. */
+  readCacheEvents(endpoint: core.EndpointId, after: number): EngineResult<CacheEvents>;
   sendOrder(
     endpoint: core.EndpointId,
     order: EngineOrder,
--- a/packages/engines/src/http_engine_client.ts
+++ b/packages/engines/src/http_engine_client.ts
@@ -28,6 +28,15 @@
   chat: "/v1/chat/completions",
 } as const;
 
+interface WireCacheEvents {
+  readonly last: number;
+  readonly events: readonly {
+    readonly sequence: number;
+    readonly added: readonly number[];
+    readonly removed: readonly number[];
+  }[];
+}
+
 /** {@linkcode client.EngineClient} over HTTP. */
 export class HttpEngineClient implements client.EngineClient {
   readonly #options: HttpEngineClientOptions;
@@ -115,6 +124,17 @@
     return answer.map((status) => status as client.EngineStatus);
   }
 
+  async readCacheEvents(
+    endpoint: core.EndpointId,
+    after: number,
+  ): client.EngineResult<client.CacheEvents> {
+    const answer = await this.#call(endpoint, {
+      method: "GET",
+      path: `/cache-events?after=${after}`,
+    });
+    return answer.map((events) => decodeCacheEvents(events as WireCacheEvents, after));
+  }
+
   async sendOrder(
     endpoint: core.EndpointId,
     order: client.EngineOrder,
@@ -200,6 +220,21 @@
   }
 }
 
+/** Events come in order; a missing sequence number is a gap, and so is a restart. */
+function decodeCacheEvents(wire: WireCacheEvents, after: number): client.CacheEvents {
+  let last = wire.last < after ? 0 : after;
+  let gap = wire.last < after;
+  const added: number[] = [];
+  const removed: number[] = [];
+  for (const event of wire.events) {
+    if (event.sequence !== last + 1) gap = true;
+    last = event.sequence;
+    added.push(...event.added);
+    removed.push(...event.removed);
+  }
+  return { last: Math.max(last, wire.last), gap, added, removed };
+}
+
 async function readRefusal(
   response: undici.Dispatcher.ResponseData,
 ): Promise<errors.EngineError> {
--- a/packages/entry/src/engine_monitor.ts
+++ b/packages/entry/src/engine_monitor.ts
@@ -26,10 +26,16 @@
 interface WatchedEngine {
   status: engines.EngineStatus | undefined;
   assignments: readonly EngineAssignment[];
+  /** Status reads so far. */
+  reads: number;
+  /** Last cache event that was read. */
+  cacheSequence: number;
 }
 
 /** Interval of status reads. */
 const READ_INTERVAL_MS = 1_000;
+/** Cache events are read once in so many reads of the status. */
+const READS_PER_CACHE_READ = 2;
 
 /** Watches engines. */
 export class EngineMonitor {
@@ -103,6 +109,23 @@
       host.handleEvent({ type: "load_reported", report }, now);
     }
     this.#options.metrics.recordPreemptions(endpoint, preemptions - before);
+    await this.#readCache(endpoint, watched);
+  }
+
+  /** Beliefs about cached prefixes; without them placement only loses a hint. */
+  async #readCache(endpoint: core.EndpointId, watched: WatchedEngine): Promise<void> {
+    watched.reads += 1;
+    if (watched.reads % READS_PER_CACHE_READ !== 0) return;
+    const events = await this.#options.client.readCacheEvents(endpoint, watched.cacheSequence);
+    if (events.isErr()) return;
+    watched.cacheSequence = events.value.last;
+    const { gap, added, removed } = events.value;
+    if (!gap && added.length === 0 && removed.length === 0) return;
+    const change = { gap, added, removed };
+    const now = this.#runtime.clock.now();
+    for (const { host } of watched.assignments) {
+      host.handleEvent({ type: "cache_changed", endpoint, change }, now);
+    }
   }
 
   #updateWatched(): void {
@@ -121,7 +144,7 @@
     }
     for (const [endpoint, assignments] of wanted) {
       const known = this.#watched.get(endpoint);
-      if (known === undefined) this.#watched.set(endpoint, { status: undefined, assignments });
+      if (known === undefined) this.#watched.set(endpoint, createWatched(assignments));
       else known.assignments = assignments;
     }
   }
@@ -134,3 +157,7 @@
 ): core.Disposer {
   return runtime.registerInterval(() => monitor.readAll(), READ_INTERVAL_MS);
 }
+
+function createWatched(assignments: readonly EngineAssignment[]): WatchedEngine {
+  return { status: undefined, assignments, reads: 0, cacheSequence: 0 };
+}
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -327,7 +327,6 @@
   runtime.logger.write("drain_started", { open: front.openCount });
   front.startDrain();
   fleet.startDrain();
-  runtime.publish(topics.DRAIN_STARTED, undefined);
   await core.waitFor(UNREADY_GRACE_MS);
   const giveUpAt = runtime.clock.now() + settingsModule.getTimeouts(settings).drainMs;
   while (front.openCount > 0 && runtime.clock.now() < giveUpAt) {
--- a/packages/entry/src/front.ts
+++ b/packages/entry/src/front.ts
@@ -2,7 +2,6 @@
 
 import * as callers from "@peridotvale/callers";
 import * as core from "@peridotvale/core";
-import * as policy from "@peridotvale/policy";
 import * as neverthrow from "neverthrow";
 import * as calls from "./call_runner.ts";
 import * as generations from "./generation_runner.ts";
@@ -171,7 +170,7 @@
         problems.createUnknownNameProblem("unknown_model", ask.model),
       );
     }
-    const promptTokens = policy.estimatePromptTokens(ask.promptText);
+    const promptTokens = core.estimatePromptTokens(ask.promptText);
     if (promptTokens > this.#options.maxPromptTokens) {
       return neverthrow.err(callers.createRefusal(413, "prompt_too_large", {
         detail: `about ${promptTokens} tokens; at most ${this.#options.maxPromptTokens}`,
--- a/packages/entry/src/topics.ts
+++ b/packages/entry/src/topics.ts
@@ -15,7 +15,5 @@
 );
 /** The endpoint table has changed. */
 export const ENDPOINTS_CHANGED = core.createTopic<void>("endpoints_changed");
-/** The process has begun to drain. */
-export const DRAIN_STARTED = core.createTopic<void>("drain_started");
 /** The set of live members or their states have changed. */
 export const MEMBERS_CHANGED = core.createTopic<void>("members_changed");
--- a/packages/peers/src/peer_mesh.ts
+++ b/packages/peers/src/peer_mesh.ts
@@ -119,11 +119,6 @@
     return link?.isOpen() && link.peer !== undefined ? link : undefined;
   }
 
-  /** Peers to which links are kept. */
-  getTargets(): core.ProcessId[] {
-    return [...this.#outgoing.keys()];
-  }
-
   /** Open links in both directions. */
   getLinks(): links.PeerLink[] {
     const open = [...this.#incoming];
--- a/packages/policy/src/engine_state.ts
+++ b/packages/policy/src/engine_state.ts
@@ -98,11 +98,6 @@
     return tokens <= this.info.memoryLimitTokens;
   }
 
-  /** Tokens held now, in own and foreign streams. */
-  getUsedTokens(): number {
-    return this.#forecast.getCurrentTokens() + this.#foreignTokens;
-  }
-
   /** Learns from the engine's own report: a reserve from preemptions, and foreign load. */
   recordLoad(report: types.LoadReport, now: number): void {
     const before = this.#preemptions;
--- a/packages/policy/src/lease_holder.ts
+++ b/packages/policy/src/lease_holder.ts
@@ -65,11 +65,6 @@
     return fencing;
   }
 
-  /** Whether the lease is held, also while its holder must not act. */
-  isHolding(): boolean {
-    return this.#state.type === "holding";
-  }
-
   handle(event: LeaseEvent, now: number): readonly LeaseEffect[] {
     switch (event.type) {
       case "wanted_changed":
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -12,7 +12,6 @@
 export * from "./neighbours.ts";
 export * from "./order_planner.ts";
 export * from "./ownership.ts";
-export * from "./prefix_hashes.ts";
 export * from "./report_policy.ts";
 export * from "./retry_budget.ts";
 export * from "./retry_policy.ts";
--- a/packages/policy/src/prefix_belief.ts
+++ b/packages/policy/src/prefix_belief.ts
@@ -1,5 +1,7 @@
 /** Which prompt prefixes an engine probably holds in its cache. */
 
+import type * as types from "./scheduler_types.ts";
+
 /** Most prefixes remembered per engine. */
 const MAX_PREFIXES = 4096;
 
@@ -19,14 +21,11 @@
     }
   }
 
-  /** Forgets prefixes that the engine has dropped. */
-  removePrefixes(prefixes: readonly number[]): void {
-    for (const prefix of prefixes) this.#seen.delete(prefix);
-  }
-
-  /** Forgets everything, as after a gap in the engine's events. */
-  removeAll(): void {
-    this.#seen.clear();
+  /** Applies what the engine has published; after a gap, everything older is forgotten. */
+  applyChange(change: types.CacheChange): void {
+    if (change.gap) this.#seen.clear();
+    this.recordPrompt(change.added);
+    for (const prefix of change.removed) this.#seen.delete(prefix);
   }
 
   /** Share of the prompt that is probably cached, 0 to 1. */
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -81,6 +81,8 @@
           event.report,
           now,
         );
+      case "cache_changed":
+        return this.#engines.get(event.endpoint)?.prefixes.applyChange(event.change);
       case "request_arrived":
         return this.#addRequest(event.capacity, now);
       case "stream_adopted":
--- a/packages/policy/src/scheduler_test.ts
+++ b/packages/policy/src/scheduler_test.ts
@@ -190,6 +190,38 @@
   t.end();
 });
 
+tap.t.test("prefixes that engines publish draw requests; a gap ages beliefs out", (t) => {
+  const scheduler = new schedulers.Scheduler();
+  const engines = ["e0", "e1"].map((name) => core.createId<core.EndpointId>(name));
+  const send = (event: types.SchedulerEvent) => scheduler.handle(event, 0);
+  send({ type: "manifest_changed", manifest });
+  for (const endpoint of engines) {
+    const engine = {
+      endpoint,
+      models: [MODEL],
+      accepting: true,
+      memoryLimitTokens: 9_000,
+      maxBatch: 6,
+    };
+    send({ type: "engine_updated", engine });
+  }
+  const place = (id: string) => {
+    const request = core.createId<core.RequestId>(id);
+    const step = { rank: "urgent", workspace: "a", prompt: 800 };
+    const capacity = { ...createCapacity(request, step, 0), prefixes: [1, 2] };
+    const [effect] = send({ type: "request_arrived", capacity });
+    send({ type: "request_ended", request, end: "abandoned" });
+    return effect?.type === "granted" ? effect.endpoint : undefined;
+  };
+  const change = { gap: false, added: [1, 2], removed: [] };
+  send({ type: "cache_changed", endpoint: engines[1]!, change });
+  t.equal(place("r1"), "e1");
+  const gap = { gap: true, added: [], removed: [] };
+  send({ type: "cache_changed", endpoint: engines[1]!, change: gap });
+  t.equal(place("r2"), "e0");
+  t.end();
+});
+
 tap.t.test("workspaces are served by weight, and a newcomer gets no credit", (t) => {
   const queue = new queues.FairQueue<queues.QueueItem & { readonly id: number }>();
   const served = new Map<string, number>();
--- a/packages/policy/src/scheduler_types.ts
+++ b/packages/policy/src/scheduler_types.ts
@@ -20,6 +20,14 @@
   readonly preemptions: number;
 }
 
+/** What an engine has published of its prompt cache; late, and with gaps. */
+export interface CacheChange {
+  /** Whether events are missing before these. */
+  readonly gap: boolean;
+  readonly added: readonly number[];
+  readonly removed: readonly number[];
+}
+
 /** A request for capacity. */
 export interface CapacityRequest {
   readonly request: core.RequestId;
@@ -57,6 +65,11 @@
   | { readonly type: "engine_updated"; readonly engine: EngineInfo }
   | { readonly type: "engine_removed"; readonly endpoint: core.EndpointId }
   | { readonly type: "load_reported"; readonly report: LoadReport }
+  | {
+    readonly type: "cache_changed";
+    readonly endpoint: core.EndpointId;
+    readonly change: CacheChange;
+  }
   | { readonly type: "request_arrived"; readonly capacity: CapacityRequest }
   | { readonly type: "stream_adopted"; readonly stream: AdoptedStream }
   | {
--- a/packages/standins/src/engine_model.ts
+++ b/packages/standins/src/engine_model.ts
@@ -69,6 +69,8 @@
   readonly #waiting: Stream[] = [];
   readonly #running: Stream[] = [];
   readonly #cache = new Map<number, true>();
+  #added: number[] = [];
+  #removed: number[] = [];
   #memoryUsed = 0;
   #preemptions = 0;
   #tokens = 0;
@@ -108,6 +110,14 @@
     this.#enqueue({ request, emitted: 0, prefillLeft: 0, held: 0, running: false });
   }
 
+  /** Takes the changes of the prompt cache since the last call. */
+  takeCacheChanges(): { readonly added: number[]; readonly removed: number[] } {
+    const changes = { added: this.#added, removed: this.#removed };
+    this.#added = [];
+    this.#removed = [];
+    return changes;
+  }
+
   /** Drops a generation. */
   cancelRequest(id: string): void {
     for (const list of [this.#waiting, this.#running]) {
@@ -218,7 +228,7 @@
 
   #recordCached(request: ModelRequest): void {
     for (const prefix of request.prefixes) {
-      this.#cache.delete(prefix);
+      if (!this.#cache.delete(prefix)) this.#added.push(prefix);
       this.#cache.set(prefix, true);
     }
     for (const oldest of this.#cache.keys()) {
@@ -226,6 +236,7 @@
         return;
       }
       this.#cache.delete(oldest);
+      this.#removed.push(oldest);
     }
   }
 }
--- a/packages/standins/src/engine_standin.ts
+++ b/packages/standins/src/engine_standin.ts
@@ -1,6 +1,7 @@
 /** A stand-in for a model engine, on a real clock. */
 
 import type * as http from "node:http";
+import * as core from "@peridotvale/core";
 import * as models from "./engine_model.ts";
 import * as plain from "./http_server.ts";
 
@@ -80,6 +81,12 @@
   state: "loading" | "ready";
 }
 
+interface CacheEvent {
+  readonly sequence: number;
+  readonly added: readonly number[];
+  readonly removed: readonly number[];
+}
+
 interface OrderBody {
   readonly fencing: number;
   readonly order: {
@@ -102,6 +109,7 @@
 
 const MAX_BUFFERED_BYTES = 256 * 1024;
 const IDLE_POLL_MS = 2;
+const MAX_CACHE_EVENTS = 50;
 
 /** The engine. */
 export class EngineStandin {
@@ -112,6 +120,8 @@
   readonly #orders: OrderLedgerEntry[] = [];
   #loaded: LoadedModel[];
   #isLeaving = false;
+  #cacheEvents: CacheEvent[] = [];
+  #cacheSequence = 0;
   #role = "serving";
   #fencing = 0;
   #faults: EngineFaults = {};
@@ -140,10 +150,10 @@
     );
     this.#timers = [
       setInterval(() => this.#runDueSteps(), IDLE_POLL_MS),
-      setInterval(
-        () => this.#report = this.#createReport(),
-        this.#options.reportLagMs,
-      ),
+      setInterval(() => {
+        this.#report = this.#createReport();
+        this.#recordCacheEvents();
+      }, this.#options.reportLagMs),
     ];
     return this.#server.address;
   }
@@ -187,6 +197,9 @@
         role: this.#role,
       });
     }
+    if (path === "/cache-events") {
+      return this.#sendCacheEvents(Number(request.query.get("after") ?? 0), response);
+    }
     if (path === "/orders") return this.#applyOrder(request, response);
     if (path === "/ledger") {
       return plain.sendJson(response, 200, {
@@ -245,7 +258,7 @@
     this.#model.addRequest({
       id,
       promptTokens,
-      prefixes: [],
+      prefixes: core.computePrefixHashes(prompt),
       outputTokens: models.computeOutputTokens(prompt, generation.seed),
       maxTokens: body.max_tokens ?? Infinity,
       priority: body.priority ?? 0,
@@ -434,6 +447,20 @@
     plain.sendJson(response, 200, {});
   }
 
+  /** Only events of the last reports are kept, so that a slow reader sees a gap. */
+  #sendCacheEvents(after: number, response: http.ServerResponse): void {
+    const events = this.#cacheEvents.filter((event) => event.sequence > after);
+    plain.sendJson(response, 200, { last: this.#cacheSequence, events });
+  }
+
+  #recordCacheEvents(): void {
+    const { added, removed } = this.#model.takeCacheChanges();
+    if (added.length === 0 && removed.length === 0) return;
+    this.#cacheSequence += 1;
+    this.#cacheEvents.push({ sequence: this.#cacheSequence, added, removed });
+    this.#cacheEvents = this.#cacheEvents.slice(-MAX_CACHE_EVENTS);
+  }
+
   #isAccepting(): boolean {
     return !this.#isLeaving && this.#role === "serving";
   }
