Start a whole answer again with other tokens when its engine is lost

Cause: found in reading: a whole answer whose engine was lost was compared with what had been collected and ended as diverged, although the caller had received nothing. Change: what was collected is forgotten before such a restart. A test kills an engine whose successor generates other tokens.

--- a/packages/bench/src/claims_bench_main.ts
+++ b/packages/bench/src/claims_bench_main.ts
@@ -15,7 +15,7 @@
     const fleet = await standins.startFleet(bed, {
       engines: [],
       services: 1,
-      entries: ["a", "a"],
+      entries: ["asahikawa", "asahikawa"],
       manifest: MANIFEST,
     });
     const addresses = fleet.entries.map((entry) => entry.address);
--- a/packages/bench/src/flood_bench_main.ts
+++ b/packages/bench/src/flood_bench_main.ts
@@ -19,7 +19,7 @@
   try {
     const { engines, entries } = await standins.startFleet(bed, {
       engines: ENGINES,
-      entries: ["a", "a"],
+      entries: ["asahikawa", "asahikawa"],
     });
     const load = {
       durationMs: DURATION_MS,
--- a/packages/callers/src/request_handler.ts
+++ b/packages/callers/src/request_handler.ts
@@ -33,6 +33,8 @@
 export interface TokenSink {
   /** Takes one token; `cursor` resumes after it. */
   writeToken(text: string, cursor: string): void;
+  /** Forgets what was written; `false` if the caller has some of it already. */
+  reset(): boolean;
   /** Resolves when more may be written; `undefined` at once. */
   waitForRoom(): Promise<void> | undefined;
 }
--- a/packages/callers/src/sinks.ts
+++ b/packages/callers/src/sinks.ts
@@ -11,12 +11,17 @@
 
 /** Collects a whole answer. */
 export class TextSink implements handler.TokenSink {
-  readonly #parts: string[] = [];
+  #parts: string[] = [];
 
   writeToken(text: string): void {
     this.#parts.push(text);
   }
 
+  reset(): boolean {
+    this.#parts = [];
+    return true;
+  }
+
   waitForRoom(): undefined {
     return undefined;
   }
@@ -53,6 +58,10 @@
     this.#response.write(this.#format.formatToken(text, cursor));
   }
 
+  reset(): boolean {
+    return !this.#response.headersSent;
+  }
+
   /** A caller that reads nothing for too long is cut off. */
   waitForRoom(): Promise<void> | undefined {
     if (this.#response.writableLength <= MAX_BUFFERED_BYTES) return undefined;
--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -369,6 +369,9 @@
       return neverthrow.ok("resume");
     }
     this.#context.retryBudget.takeRetry();
+    if (retry.type === "restart" && this.#sink.reset()) {
+      this.#position = { delivered: 0, prefixHash: 0n };
+    }
     this.#avoid.push(this.#endpoint!);
     this.#idleResumes = 0;
     return neverthrow.ok("start");
--- a/packages/standins/src/promise_tokens_test.ts
+++ b/packages/standins/src/promise_tokens_test.ts
@@ -68,6 +68,33 @@
   t.notOk(transcript.done);
 });
 
+tap.t.test("a whole answer starts again elsewhere, also with other tokens", async (t) => {
+  const bed = new testBed.TestBed();
+  t.teardown(() => bed.stop());
+  const { engines, entries } = await fleets.startFleet(bed, {
+    engines: [[...SLOW, "--salt", "a"], [...SLOW, "--salt", "b"]],
+  });
+  const prompt = "whole [len=40]";
+  const running = fetch(`http://${entries[0]!.address}/v1/completions`, {
+    method: "POST",
+    headers: { "x-workspace": "orchard", "x-request-id": "whole" },
+    body: JSON.stringify({ model: "layout-7b", prompt, seed: SEED }),
+  });
+  await testBed.waitUntil(async () => {
+    const engine = await fleets.findEngine(engines, "whole");
+    const { generations } = await fleets.readEngineLedger(engine);
+    return generations.some((entry) => entry.attempt.startsWith("whole~") && entry.tokens > 5);
+  }, "the first engine generates");
+  const killed = await fleets.findEngine(engines, "whole");
+  killed.child.kill("SIGKILL");
+  const answer = await (await running).json() as {
+    readonly choices: readonly { readonly text: string }[];
+  };
+  const version = killed === engines[0] ? "v1b" : "v1a";
+  const expected = fleets.createExpectedTokens(prompt, SEED, { length: 40, version });
+  t.equal(answer.choices[0]?.text, expected.join(""));
+});
+
 tap.t.test("a connection that is silent for good: resumed on a new one", async (t) => {
   const bed = new testBed.TestBed();
   t.teardown(() => bed.stop());
