Give no more work to an engine that has just refused it

Cause: in a flood on real processes 295 of 1,004 requests ended with 'retry_budget_exhausted', truly not run: a copy too many of the model was unloaded, and its owner granted that engine until the next status read, while the engine refused each request. Ruled out: leaving such refusals out of the retry budget (the storm would stay). Change: a start that the engine did not take is told to the owner like one that could not reach it.

--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -218,13 +218,18 @@
       return this.#createFailure("failed", "evicted");
     }
     if (error.code === "unreachable") this.#recordUnreachable(endpoint);
+    else if (error.outcome === "not_run") this.#endUntaken();
     return this.#createFailure(error.outcome, error.code);
   }
 
   /** Tells the engine's owner, which gives it no new work until it answers again. */
   #recordUnreachable(endpoint: core.EndpointId): void {
     this.#context.directory.table.recordFailure(endpoint, this.#now());
-    this.#grant?.end("unreachable");
+    this.#endUntaken();
+  }
+
+  #endUntaken(): void {
+    this.#grant?.end("not_taken");
     this.#grant = undefined;
   }
 
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -233,7 +233,7 @@
     }
     this.#closeStream(engine, stream);
     // Until the engine's state is read again, no request should try it.
-    if (end === "unreachable") engine.info = { ...engine.info, accepting: false };
+    if (end === "not_taken") engine.info = { ...engine.info, accepting: false };
     this.#grantModel(this.#getModel(stream.capacity.model), now);
   }
 
--- a/packages/policy/src/scheduler_test.ts
+++ b/packages/policy/src/scheduler_test.ts
@@ -59,7 +59,7 @@
       arbitrary: fc.record({
         type: fc.constant("end" as const),
         index: fc.nat(),
-        end: fc.constantFrom<types.StreamEnd>("completed", "abandoned", "unreachable"),
+        end: fc.constantFrom<types.StreamEnd>("completed", "abandoned", "not_taken"),
       }),
     },
     {
@@ -149,7 +149,7 @@
       } else if (step.type === "end") {
         const engine = open.get(request);
         open.delete(request);
-        if (step.end === "unreachable" && engine !== undefined) accepting.set(engine, false);
+        if (step.end === "not_taken" && engine !== undefined) accepting.set(engine, false);
         send({ type: "request_ended", request, end: step.end });
       } else if (step.type === "leave") update(step.engine, step.accepting);
       else if (step.type === "remove") {
--- a/packages/policy/src/scheduler_types.ts
+++ b/packages/policy/src/scheduler_types.ts
@@ -55,9 +55,10 @@
 
 /**
  * How a request has ended: its generation came to its own end, so that its
- * length may be learned; it was given up; or its engine could not be reached.
+ * length may be learned; it was given up; or its engine could not be
+ * reached or did not take it.
  */
-export type StreamEnd = "completed" | "abandoned" | "unreachable";
+export type StreamEnd = "completed" | "abandoned" | "not_taken";
 
 /** What happened. */
 export type SchedulerEvent =
--- a/packages/standins/src/promise_fleet_test.ts
+++ b/packages/standins/src/promise_fleet_test.ts
@@ -102,6 +102,31 @@
   t.ok(ledger.generations.length >= 6, "the other zone has served the rest");
 });
 
+tap.t.test("a copy too many is unloaded under load: nothing is refused", async (t) => {
+  const bed = new testBed.TestBed();
+  t.teardown(() => bed.stop());
+  const { engines, entries } = await fleets.startFleet(bed, {
+    engines: [["--base", "4"], ["--base", "4"], ["--base", "4"]],
+    manifest: testBed.TEST_MANIFEST.replace("replicas: 2", "replicas: 3"),
+  });
+  await bed.submitManifest(entries[0]!, testBed.TEST_MANIFEST.replace("release: 1", "release: 2"));
+  const hasUnloaded = async () =>
+    (await readOrders(engines)).some((order) => order.type === "unload_model");
+  let served = 0;
+  for (let round = 0; round < 200 && !(await hasUnloaded()); round++) {
+    for (const transcript of await streamEvery(entries)) {
+      served += 1;
+      if (!transcript.done) t.fail(transcript.problem?.code ?? "no end");
+    }
+  }
+  t.ok(await hasUnloaded(), `${served} requests were served meanwhile`);
+  for (let round = 0; round < 10; round++) {
+    for (const transcript of await streamEvery(entries)) {
+      if (!transcript.done) t.fail(transcript.problem?.code ?? "no end");
+    }
+  }
+});
+
 for (const fencing of [true, false]) {
   tap.t.test(`orders by one holder, engines ${fencing ? "check" : "ignore"} fencing`, async (t) => {
     const bed = new testBed.TestBed();
