Wait in one place, and compute owners and targets once

Cause: found in reading the whole change: the same wait stood four times; the list of engines was built on every question for an engine's owner, also when owners were known; the strictest target between tokens was searched for each engine of each decision. Change: the wait of core serves all; both are computed once. Behaviour stays.

--- a/packages/entry/src/capacity_router.ts
+++ b/packages/entry/src/capacity_router.ts
@@ -169,10 +169,10 @@
   /** Owners are computed anew only when members or engines have changed. */
   #updateOwners(): void {
     const { membership } = this.#options.getFleet();
-    const engines = this.#options.directory.table.getEndpoints("engine");
     const key = `${membership.version}|${this.#options.directory.version}`;
     if (key === this.#ownersKey) return;
     this.#ownersKey = key;
+    const engines = this.#options.directory.table.getEndpoints("engine");
     this.#owners = computeOwners(engines, membership.getLive());
   }
 
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -328,12 +328,14 @@
     const survival = this.#predictor.getSurvival(capacity);
     let keepFree = model.countReserved(rank, now);
     const lightSlots = rank.workspaces.isHeavy(capacity.workspace) ? LIGHT_SLOTS_PER_ENGINE : 0;
+    const targetMs = this.#getTokenTargetMs();
     let openSlots = 0;
     const candidates: engines.EngineState[] = [];
     for (const engine of this.#engines.values()) {
       if (!isServing(engine, capacity)) continue;
       keepFree += lightSlots;
-      const slots = this.#getMaxBatch(engine) - engine.streams.size;
+      const maxBatch = Math.min(engine.info.maxBatch, engine.speed.predictMaxBatch(targetMs));
+      const slots = maxBatch - engine.streams.size;
       if (slots <= 0) continue;
       openSlots += slots;
       candidates.push(engine);
@@ -351,13 +353,13 @@
     }, { prefixes: capacity.prefixes, now });
   }
 
-  #getMaxBatch(engine: engines.EngineState): number {
+  /** The strictest target between tokens, less what placement leaves of it. */
+  #getTokenTargetMs(): number {
     let targetMs = Infinity;
     for (const rank of this.#manifest?.ranks.values() ?? []) {
       targetMs = Math.min(targetMs, rank.betweenTokensMs);
     }
-    const bySpeed = engine.speed.predictMaxBatch(targetMs * TOKEN_TARGET_SHARE);
-    return Math.min(engine.info.maxBatch, bySpeed);
+    return targetMs * TOKEN_TARGET_SHARE;
   }
 
   #openStream(
--- a/packages/standins/src/promise_leave_test.ts
+++ b/packages/standins/src/promise_leave_test.ts
@@ -19,16 +19,16 @@
     const index = bed.vms.findIndex((line) => line.address === engines[0]!.address);
     bed.vms[index] = { ...bed.vms[index]!, state: "leaving" };
     await bed.sendVms();
-    await waitFor(LEAVE_BOUND_MS);
+    await testBed.waitFor(LEAVE_BOUND_MS);
     t.equal(await countNewWork(engines[0]!, entries), 0);
   });
 
   await t.test("by its own word, with the VM list lagging and the store down", async (t) => {
     await bed.postPlatform("faults", { down: true });
     const long = caller.streamCompletion(entries[0]!.address, { prompt: "long [len=600]" });
-    await waitFor(200);
+    await testBed.waitFor(200);
     engines[1]!.child.kill("SIGTERM");
-    await waitFor(LEAVE_BOUND_MS);
+    await testBed.waitFor(LEAVE_BOUND_MS);
     t.equal(await countNewWork(engines[1]!, entries), 0);
     t.ok((await long).done, "an open generation ends");
     await bed.postPlatform("faults", {});
@@ -69,7 +69,7 @@
   const index = bed.vms.findIndex((line) => line.address === leaving!.address);
   bed.vms[index] = { ...bed.vms[index]!, state: "leaving" };
   await bed.sendVms();
-  await waitFor(LEAVE_BOUND_MS);
+  await testBed.waitFor(LEAVE_BOUND_MS);
   const before = (await fleets.readServiceLedger(leaving!)).length;
   const answers = await placeMany();
   for (const answer of answers) t.equal(answer.status, 200);
@@ -112,17 +112,17 @@
     }
   }));
   const long = caller.streamCompletion(entries[0]!.address, { prompt: "long stream [len=900]" });
-  await waitFor(800);
+  await testBed.waitFor(800);
   entries[0]!.child.kill("SIGTERM");
   entries[0]!.child.kill("SIGTERM");
   // A peer without callers of its own dies at the same time; it may own the engines.
   entries[3]!.child.kill("SIGKILL");
-  await waitFor(300);
+  await testBed.waitFor(300);
   entries[1]!.child.kill("SIGTERM");
   t.ok((await long).done, "a long stream ends whole");
   t.equal(await entries[0]!.exited, 0);
   t.equal(await entries[1]!.exited, 0);
-  await waitFor(300);
+  await testBed.waitFor(300);
   isRunning = false;
   await load;
   t.same(failures, []);
@@ -162,10 +162,6 @@
         // A stopped process is not ready.
       }
     }
-    await waitFor(20);
+    await testBed.waitFor(20);
   }
 }
-
-function waitFor(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/standins/src/service_standin.ts
+++ b/packages/standins/src/service_standin.ts
@@ -1,6 +1,7 @@
 /** A stand-in for a plain service: a ledger of orders that counts doubles, and reads. */
 
 import type * as http from "node:http";
+import * as core from "@peridotvale/core";
 import * as plain from "./http_server.ts";
 
 /** Faults that tests ask for. */
@@ -71,7 +72,7 @@
       return plain.sendJson(response, 503, { message: "busy" });
     }
     const order = this.#applyRequest(request, attempt);
-    if (this.#faults.delayMs) await waitFor(this.#faults.delayMs);
+    if (this.#faults.delayMs) await core.waitFor(this.#faults.delayMs);
     if (this.#takeFault("dropAnswers")) {
       response.destroy();
       return;
@@ -109,7 +110,3 @@
     return true;
   }
 }
-
-function waitFor(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/standins/src/test_bed.ts
+++ b/packages/standins/src/test_bed.ts
@@ -8,6 +8,8 @@
 import * as url from "node:url";
 import * as undici from "undici";
 
+export { waitFor } from "@peridotvale/core";
+
 /** A started process. */
 export interface Started {
   readonly address: string;
@@ -321,11 +323,6 @@
   });
 }
 
-/** Waits `durationMs`. */
-export function waitFor(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
-
 async function runToEnd(args: readonly string[]): Promise<FinishedRun> {
   const child = childProcess.spawn(process.execPath, [...args]);
   let stdout = "";
