Share loads between processes, and take turns at an engine that leaves

All processes copied from it at once; its link sends one copy after another, so every copy ended after 1.7 s of 1.8 s notice, and the last states queued behind the others' copies. Ruled out: late news (all processes knew within 2 ms of each other). Change: processes announce themselves in the store, link to each other and report what they run at engines; an engine is left by one process at a time, in an order that all compute alike; targets in the source's zone first, since a copy into another zone takes twice as long. Runs that have not started are moved once they have.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,12 +4,14 @@
 import * as core from "@peridotvale/core";
 import * as policy from "@peridotvale/policy";
 import * as callForwarders from "./call_forwarder.ts";
+import * as announcers from "./announcer.ts";
 import type * as codec from "./codec.ts";
 import * as pools from "./connection_pool.ts";
 import type * as controls from "./engine_control.ts";
 import type * as contexts from "./gateway_context.ts";
 import type * as settingsModule from "./gateway_settings.ts";
 import * as handOvers from "./hand_over_agent.ts";
+import * as peerAgents from "./peer_agent.ts";
 import * as handlers from "./request_handler.ts";
 import type * as stores from "./routing_store.ts";
 import * as agents from "./store_agent.ts";
@@ -26,8 +28,8 @@
   readonly random: core.RandomSource;
 }
 
-/** Processes that share the bounds on repeats where their number is not known. */
-const ASSUMED_PROCESSES = 10;
+/** Fewest processes that the bounds on repeats are shared among; others may not be linked. */
+const MIN_PROCESSES = 8;
 /** Period of the directory's own time-outs. */
 const EXPIRE_INTERVAL_MS = 200;
 /** Largest head of a request until the configuration states a bound. */
@@ -51,6 +53,8 @@
   readonly #handOvers: handOvers.HandOverAgent;
   readonly #front: http.Server;
   readonly #health: http.Server;
+  readonly #peers: peerAgents.PeerAgent;
+  readonly #announcer: announcers.Announcer;
   readonly #budgets = new Map<core.ServiceName, policy.WindowBudget>();
   #isDraining = false;
   #timer: NodeJS.Timeout | undefined;
@@ -59,7 +63,29 @@
     this.#options = options;
     this.#context = this.#createContext();
     this.#streams = new streams.StreamForwarder(this.#context);
-    this.#handOvers = new handOvers.HandOverAgent(this.#context, () => this.#streams.relays);
+    this.#handOvers = new handOvers.HandOverAgent({
+      context: this.#context,
+      listRelays: () => this.#streams.relays,
+      reportNow: () => this.#peers.reportNow(),
+    });
+    this.#peers = new peerAgents.PeerAgent({
+      settings: options.settings,
+      clock: options.clock,
+      logger: options.logger,
+      board: this.#context.board,
+      listLoads: () => {
+        const { engines } = this.#context;
+        return engines.listOwnLoads((instance) => this.#handOvers.getMovingTokens(instance));
+      },
+      onReport: () => {},
+    });
+    const { process, zone } = options.settings;
+    this.#announcer = new announcers.Announcer({
+      store: options.store,
+      self: { process, zone, address: this.#peers.address },
+      logger: options.logger,
+      random: options.random,
+    });
     this.#agent = new agents.StoreAgent({
       store: options.store,
       config: this.#context.config,
@@ -68,6 +94,8 @@
       logger: options.logger,
       random: options.random,
       onConfig: (now) => this.#applyConfig(now),
+      onPeer: (peer) => this.#peers.applyPeer(peer),
+      onPeerRemoved: (peer) => this.#peers.removePeer(peer),
       onChanges: (changes) => this.#publishChanges(changes),
     });
     this.#handler = new handlers.RequestHandler({
@@ -89,7 +117,9 @@
   /** Listens and begins to follow the store. */
   async start(): Promise<void> {
     const { settings, logger } = this.#options;
+    await this.#peers.start();
     this.#agent.start();
+    void this.#announcer.run();
     await listenAt(this.#health, settings.health);
     await listenAt(this.#front, settings.front);
     this.#timer = setInterval(() => this.#expire(), EXPIRE_INTERVAL_MS);
@@ -111,6 +141,8 @@
       await core.waitFor(DRAIN_POLL_MS);
     }
     this.#agent.stop();
+    this.#announcer.stop();
+    this.#peers.stop();
     clearInterval(this.#timer);
     logger.write("stopped", { given_up: this.#handler.openCount });
     this.#front.closeAllConnections();
@@ -122,6 +154,7 @@
     const { settings, clock, logger, random } = this.#options;
     const directory = new policy.InstanceDirectory();
     const config = new policy.ConfigRegister();
+    const board = new policy.LoadBoard();
     return {
       settings,
       clock,
@@ -132,10 +165,11 @@
       config,
       directory,
       placement: new policy.CallPlacement(),
-      engines: new policy.EnginePlacement(),
+      engines: new policy.EnginePlacement(board),
+      board,
       engineControl: this.#options.engineControl,
       getBudget: (service) => this.#getBudget(service),
-      getProcessCount: () => ASSUMED_PROCESSES,
+      getProcessCount: () => Math.max(MIN_PROCESSES, board.processCount + 1),
       publishChanges: (changes) => this.#publishChanges(changes),
       getEngineProfile: (service) => config.inForce?.config.services.get(service)?.engine,
       listEngines: (service) => {
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -19,6 +19,8 @@
   readonly directory: policy.InstanceDirectory;
   readonly placement: policy.CallPlacement;
   readonly engines: policy.EnginePlacement;
+  /** What other processes run at engines. */
+  readonly board: policy.LoadBoard;
   readonly engineControl: controls.EngineControl;
   /** Engines of a service that may get new work. */
   listEngines(service: core.ServiceName): policy.EngineCandidate[];
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -30,5 +30,7 @@
   /** Readiness and metrics. */
   readonly health: ListenAddress;
   readonly readinessPath: string;
+  /** Links from other gateway processes. */
+  readonly peers: ListenAddress;
   readonly bounds: GatewayBounds;
 }
--- a/packages/gateway/src/hand_over_agent.ts
+++ b/packages/gateway/src/hand_over_agent.ts
@@ -1,90 +1,152 @@
 /** Hands generations over to other engines when theirs leaves. */
 
-import type * as core from "@peridotvale/core";
+import * as core from "@peridotvale/core";
 import * as policy from "@peridotvale/policy";
 import type * as contexts from "./gateway_context.ts";
 import type * as relays from "./generation_relay.ts";
 
-/** Hand-overs from one engine that this process has under way at once. */
-const CONCURRENT_HAND_OVERS = 1;
+/** Options of {@linkcode HandOverAgent}. */
+export interface HandOverAgentOptions {
+  readonly context: contexts.GatewayContext;
+  readonly listRelays: () => ReadonlySet<relays.GenerationRelay>;
+  /** Tells the other processes at once what is still to move. */
+  readonly reportNow: () => void;
+}
+
+/** Work on one engine that leaves. */
+interface Evacuation {
+  readonly source: core.EndpointRecord;
+  readonly profile: core.EngineProfile;
+  readonly failedMoves: Map<core.RequestId, number>;
+  readonly fullTargets: Map<core.RequestId, Set<core.InstanceId>>;
+}
+
+/** Pause before it is looked again whose turn it is and which runs have started. */
+const POLL_MS = 10;
+/** An engine that leaves is gone by then, or serves to the end of its runs. */
+const MAX_EVACUATION_MS = 6_000;
+/** First reports of what others want to move arrive within this time. */
+const FIRST_REPORTS_MS = 12;
+/** Longest wait for other processes; a report of theirs may be lost. */
+const MAX_TURN_WAIT_MS = 2_500;
 
 /** Starts hand-overs in the order that the plan gives. */
 export class HandOverAgent {
-  readonly #context: contexts.GatewayContext;
-  readonly #relays: () => ReadonlySet<relays.GenerationRelay>;
-  readonly #running = new Set<core.InstanceId>();
+  readonly #options: HandOverAgentOptions;
+  readonly #evacuations = new Map<core.InstanceId, Evacuation>();
 
-  constructor(
-    context: contexts.GatewayContext,
-    listRelays: () => ReadonlySet<relays.GenerationRelay>,
-  ) {
-    this.#context = context;
-    this.#relays = listRelays;
+  constructor(options: HandOverAgentOptions) {
+    this.#options = options;
   }
 
-  /** Moves the generations of an engine that leaves. */
-  async evacuate(source: core.EndpointRecord): Promise<void> {
-    const profile = this.#context.getEngineProfile(source.service);
-    if (profile === undefined || !profile.canMove || this.#running.has(source.instance)) return;
-    this.#running.add(source.instance);
-    const tried = new Set<relays.GenerationRelay>();
-    const work: Promise<void>[] = [];
-    for (let i = 0; i < CONCURRENT_HAND_OVERS; i++) {
-      work.push(this.#evacuateInTurn(source, profile, tried));
+  /** Tokens that this process still wants to move away from an engine. */
+  getMovingTokens(instance: core.InstanceId): number {
+    const evacuation = this.#evacuations.get(instance);
+    if (evacuation === undefined) return 0;
+    let tokens = 0;
+    for (const run of this.#listRuns(evacuation)) {
+      if (run.hasStarted && policy.isWorthMoving(run)) tokens += run.heldTokens;
     }
-    await Promise.all(work);
-    this.#running.delete(source.instance);
+    return tokens;
   }
 
-  async #evacuateInTurn(
-    source: core.EndpointRecord,
-    profile: core.EngineProfile,
-    tried: Set<relays.GenerationRelay>,
-  ): Promise<void> {
-    for (;;) {
-      const relay = this.#chooseRelay(source, profile, tried);
-      if (relay === undefined) return;
-      tried.add(relay);
-      const target = this.#context.engines.chooseEngine(
-        this.#context.listEngines(source.service),
-        relay.size,
-        {
-          now: this.#context.clock.now(),
-          zone: source.zone,
-          avoid: new Set([source.instance]),
-          random: this.#context.random,
-        },
-      );
-      if (target === undefined) {
-        this.#context.logger.write("hand_over", {
-          request: relay.request.id,
-          outcome: "no_target",
-          source: source.instance,
-        });
+  /** Moves the generations of an engine that leaves. */
+  async evacuate(source: core.EndpointRecord): Promise<void> {
+    const { context } = this.#options;
+    const profile = context.getEngineProfile(source.service);
+    if (profile === undefined || !profile.canMove) return;
+    if (this.#evacuations.has(source.instance)) return;
+    const evacuation: Evacuation = {
+      source,
+      profile,
+      failedMoves: new Map(),
+      fullTargets: new Map(),
+    };
+    this.#evacuations.set(source.instance, evacuation);
+    this.#options.reportNow();
+    await core.waitFor(FIRST_REPORTS_MS);
+    const endAt = context.clock.now() + MAX_EVACUATION_MS;
+    let waitingSince = context.clock.now();
+    while (context.clock.now() < endAt) {
+      const runs = this.#listRuns(evacuation);
+      if (runs.length === 0) break;
+      const next = policy.chooseNextMove(runs);
+      const isTurn = this.#isOwnTurn(source) ||
+        context.clock.now() - waitingSince > MAX_TURN_WAIT_MS;
+      if (next === undefined || !isTurn) {
+        await core.waitFor(POLL_MS);
         continue;
       }
-      await relay.handOver(target);
+      await this.#move(evacuation, next);
+      waitingSince = context.clock.now();
+    }
+    this.#evacuations.delete(source.instance);
+    this.#options.reportNow();
+  }
+
+  async #move(evacuation: Evacuation, run: policy.LeavingRun): Promise<void> {
+    const { context } = this.#options;
+    const { source } = evacuation;
+    const relay = this.#findRelay(run.request);
+    if (relay === undefined) return;
+    const full = evacuation.fullTargets.get(run.request) ?? new Set<core.InstanceId>();
+    const target = context.engines.chooseEngine(
+      context.listEngines(source.service),
+      relay.size,
+      {
+        now: context.clock.now(),
+        zone: source.zone,
+        avoid: new Set([source.instance, ...full]),
+        random: context.random,
+        isMove: true,
+      },
+    );
+    const failures = evacuation.failedMoves.get(run.request) ?? 0;
+    if (target === undefined) {
+      evacuation.failedMoves.set(run.request, failures + 1);
+      context.logger.write("hand_over", {
+        request: run.request,
+        outcome: "no_target",
+        source: source.instance,
+      });
+      return;
+    }
+    if (await relay.handOver(target)) return this.#options.reportNow();
+    evacuation.failedMoves.set(run.request, failures + 1);
+    full.add(target.instance);
+    evacuation.fullTargets.set(run.request, full);
+  }
+
+  #isOwnTurn(source: core.EndpointRecord): boolean {
+    const { context } = this.#options;
+    const others = context.board.listMoving(source.instance).map((one) => one.process);
+    return policy.isOwnTurn(context.settings.process, source.instance, others);
+  }
+
+  #findRelay(request: core.RequestId): relays.GenerationRelay | undefined {
+    for (const relay of this.#options.listRelays()) {
+      if (relay.request.id === request) return relay;
     }
+    return undefined;
   }
 
-  /** The generation with most left to deliver goes first; what ends soon is not moved. */
-  #chooseRelay(
-    source: core.EndpointRecord,
-    profile: core.EngineProfile,
-    tried: ReadonlySet<relays.GenerationRelay>,
-  ): relays.GenerationRelay | undefined {
-    let best: relays.GenerationRelay | undefined;
-    let mostLeft = 0;
-    for (const relay of this.#relays()) {
-      if (relay.endpoint.instance !== source.instance || tried.has(relay)) continue;
-      if (!relay.canHandOver) continue;
+  #listRuns(evacuation: Evacuation): policy.LeavingRun[] {
+    const { source, profile } = evacuation;
+    const runs: policy.LeavingRun[] = [];
+    for (const relay of this.#options.listRelays()) {
+      if (relay.endpoint.instance !== source.instance) continue;
       const generated = relay.deliveredEvents * profile.tokensPerEvent;
-      const left = policy.predictTotalTokens(relay.size, generated) -
-        relay.size.promptTokens - generated;
-      if (left <= mostLeft) continue;
-      best = relay;
-      mostLeft = left;
+      const total = policy.predictTotalTokens(relay.size, generated);
+      const heldTokens = relay.size.promptTokens + generated;
+      runs.push({
+        request: relay.request.id,
+        hasStarted: relay.deliveredEvents > 0,
+        heldTokens,
+        tokensLeft: total - heldTokens,
+        failedMoves: evacuation.failedMoves.get(relay.request.id) ?? 0,
+        isMoving: !relay.canHandOver,
+      });
     }
-    return best;
+    return runs;
   }
 }
--- a/packages/gateway/src/routing_store.ts
+++ b/packages/gateway/src/routing_store.ts
@@ -17,9 +17,19 @@
   readonly storeRevision: number;
 }
 
-/** A listing of all endpoints. */
-export interface EndpointListing {
+/** A gateway process that has announced itself. */
+export interface AnnouncedPeer {
+  readonly process: core.ProcessId;
+  readonly zone: core.ZoneName;
+  /** Where it listens for other processes, `host:port`. */
+  readonly address: string;
+}
+
+/** A listing of everything in the store. */
+export interface StoreListing {
+  readonly config: core.RoutingConfig | undefined;
   readonly records: readonly core.EndpointRecord[];
+  readonly peers: readonly AnnouncedPeer[];
   /** Revision of the store before the listing began. */
   readonly storeRevision: number;
   /** Entries that could not be read, and why. */
@@ -31,6 +41,8 @@
   | { readonly type: "config"; readonly config: core.RoutingConfig }
   | { readonly type: "endpoint"; readonly record: core.EndpointRecord }
   | { readonly type: "endpoint_removed"; readonly instance: core.InstanceId }
+  | { readonly type: "peer"; readonly peer: AnnouncedPeer }
+  | { readonly type: "peer_removed"; readonly process: core.ProcessId }
   | { readonly type: "unreadable"; readonly detail: string };
 
 /** What a watch has seen. */
@@ -43,13 +55,17 @@
 /** Result of a call to the store. */
 export type StoreResult<T> = Promise<neverthrow.Result<T, StoreError>>;
 
-/** Reads of the store; every one shows the newest state unless it says otherwise. */
+/** Calls to the store; every read shows its newest state. */
 export interface RoutingStore {
   readConfig(options: { readonly timeoutMs: number }): StoreResult<ConfigReading>;
-  listEndpoints(options: { readonly timeoutMs: number }): StoreResult<EndpointListing>;
+  listAll(options: { readonly timeoutMs: number }): StoreResult<StoreListing>;
   /** Waits at most `waitMs` for changes after a revision. */
   watch(
     afterRevision: number,
     options: { readonly waitMs: number; readonly signal: AbortSignal },
   ): StoreResult<StoreChanges>;
+  /** Announces a process for `ttlMs`; returns the lease that renews it. */
+  announce(self: AnnouncedPeer, ttlMs: number): StoreResult<string>;
+  /** Renews an announcement; false if it has lapsed. */
+  renewAnnouncement(lease: string): StoreResult<boolean>;
 }
--- a/packages/gateway/src/store_agent.ts
+++ b/packages/gateway/src/store_agent.ts
@@ -31,6 +31,8 @@
   readonly logger: core.Logger;
   readonly random: core.RandomSource;
   readonly onConfig: (now: number) => void;
+  readonly onPeer: (peer: stores.AnnouncedPeer) => void;
+  readonly onPeerRemoved: (process: core.ProcessId) => void;
   readonly onChanges: (changes: readonly policy.InstanceChange[], now: number) => void;
 }
 
@@ -93,7 +95,7 @@
   }
 
   async #readConfig(askedAt: number): Promise<boolean> {
-    const { store, config, clock, logger } = this.#options;
+    const { store, clock } = this.#options;
     const reading = await store.readConfig({ timeoutMs: READ_TIMEOUT_MS });
     const now = clock.now();
     if (reading.isErr()) {
@@ -104,10 +106,7 @@
     this.#checkWatch(reading.value.storeRevision, now);
     const found = reading.value.config;
     if (found === undefined) return true;
-    const isNew = config.adopt(found, askedAt);
-    if (!isNew) return true;
-    logger.write("config_adopted", { release: found.release, from: "read", age_ms: now - askedAt });
-    this.#options.onConfig(now);
+    this.#adopt(found, { askedAt, from: "read" });
     return true;
   }
 
@@ -128,7 +127,8 @@
 
   async #list(): Promise<boolean> {
     const { store, directory, clock, logger } = this.#options;
-    const listing = await store.listEndpoints({ timeoutMs: READ_TIMEOUT_MS });
+    const askedAt = clock.now();
+    const listing = await store.listAll({ timeoutMs: READ_TIMEOUT_MS });
     const now = clock.now();
     if (listing.isErr()) {
       this.#recordFailure(listing.error, now);
@@ -145,9 +145,22 @@
       changes: changes.length,
     });
     this.#options.onChanges(changes, now);
+    for (const peer of listing.value.peers) this.#options.onPeer(peer);
+    const found = listing.value.config;
+    if (found !== undefined) this.#adopt(found, { askedAt, from: "listing" });
     return true;
   }
 
+  #adopt(
+    found: core.RoutingConfig,
+    source: { readonly askedAt: number; readonly from: "read" | "listing" | "watch" },
+  ): void {
+    const now = this.#options.clock.now();
+    if (!this.#options.config.adopt(found, source.askedAt)) return;
+    this.#options.logger.write("config_adopted", { release: found.release, from: source.from });
+    this.#options.onConfig(now);
+  }
+
   async #watchOnce(afterRevision: number): Promise<boolean> {
     const { store, clock } = this.#options;
     const watch = new AbortController();
@@ -172,17 +185,19 @@
   }
 
   #applyChange(change: stores.StoreChange, now: number): void {
-    const { config, directory, logger } = this.#options;
+    const { directory, logger } = this.#options;
     switch (change.type) {
       case "config":
         // A watch shows what has changed, but not that nothing newer has.
-        if (!config.adopt(change.config, -Infinity)) return;
-        logger.write("config_adopted", { release: change.config.release, from: "watch" });
-        return this.#options.onConfig(now);
+        return this.#adopt(change.config, { askedAt: -Infinity, from: "watch" });
       case "endpoint":
         return this.#options.onChanges(directory.applyRecord(change.record, now), now);
       case "endpoint_removed":
         return this.#options.onChanges(directory.removeRecord(change.instance, now), now);
+      case "peer":
+        return this.#options.onPeer(change.peer);
+      case "peer_removed":
+        return this.#options.onPeerRemoved(change.process);
       case "unreadable":
         logger.write("entry_unreadable", { detail: change.detail });
     }
--- a/packages/peers/src/codec.ts
+++ b/packages/peers/src/codec.ts
@@ -22,6 +22,7 @@
   "endpoints",
   "capacity_events",
   "capacity_effects",
+  "engine_loads",
   "explain",
   "explained",
 ]);
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -66,6 +66,12 @@
   readonly effects: readonly policy.SchedulerEffect[];
 }
 
+/** What the sender itself runs at engines; replaces its earlier report. */
+export interface EngineLoadsMessage {
+  readonly type: "engine_loads";
+  readonly loads: readonly policy.EngineLoad[];
+}
+
 /** Asks for the decisions about a request. */
 export interface ExplainMessage {
   readonly type: "explain";
@@ -97,5 +103,6 @@
   | EndpointsMessage
   | CapacityEventsMessage
   | CapacityEffectsMessage
+  | EngineLoadsMessage
   | ExplainMessage
   | ExplainedMessage;
--- a/packages/policy/src/engine_placement.ts
+++ b/packages/policy/src/engine_placement.ts
@@ -5,6 +5,7 @@
  */
 
 import type * as core from "@peridotvale/core";
+import type * as boards from "./load_board.ts";
 
 /** A generation, as far as placement needs it. */
 export interface GenerationSize {
@@ -20,13 +21,6 @@
   readonly profile: core.EngineProfile;
 }
 
-/** What runs at an engine, as other processes report it. */
-export interface ForeignLoad {
-  readonly runs: number;
-  readonly reservedTokens: number;
-  readonly unreadPromptTokens: number;
-}
-
 interface Run {
   readonly size: GenerationSize;
   generatedTokens: number;
@@ -35,7 +29,6 @@
 
 interface Engine {
   readonly runs: Map<core.RequestId, Run>;
-  foreign: ForeignLoad;
   avoidUntil: number;
   /** Smoothed time of one token of a run. */
   tokenMs: number;
@@ -57,7 +50,7 @@
 const PREFILL_WEIGHT = 0.6;
 /** An engine of another zone is chosen if it is emptier by this share. */
 const REMOTE_PENALTY = 0.05;
-const NO_LOAD: ForeignLoad = { runs: 0, reservedTokens: 0, unreadPromptTokens: 0 };
+const REMOTE_MOVE_PENALTY = 0.6;
 
 /** Predicts the tokens that a generation holds at its end. */
 export function predictTotalTokens(size: GenerationSize, generatedTokens: number): number {
@@ -69,6 +62,12 @@
 /** Loads of engines as this process knows them. */
 export class EnginePlacement {
   readonly #engines = new Map<core.InstanceId, Engine>();
+  readonly #board: boards.LoadBoard;
+
+  /** `board` holds what other processes run. */
+  constructor(board: boards.LoadBoard) {
+    this.#board = board;
+  }
 
   /**
    * Chooses the engine for a generation, undefined where none has room. `avoid`
@@ -82,6 +81,8 @@
       readonly zone: core.ZoneName;
       readonly avoid: ReadonlySet<core.InstanceId>;
       readonly random: core.RandomSource;
+      /** Whether memory moves there; it takes twice as long into another zone. */
+      readonly isMove?: boolean;
     },
   ): core.EndpointRecord | undefined {
     let best: core.EndpointRecord | undefined;
@@ -90,11 +91,15 @@
       const { record, profile } = candidate;
       const engine = this.#getEngine(record.instance);
       if (options.avoid.has(record.instance) || options.now < engine.avoidUntil) continue;
-      if (!this.hasRoom(candidate, size)) continue;
-      let score = this.getReservedTokens(record.instance) / profile.memoryTokens;
-      score += PREFILL_WEIGHT * this.#getPrefillSeconds(engine, size);
+      const load = this.#getLoad(record.instance);
+      if (!hasRoom(load, profile, size)) continue;
+      let score = load.reservedTokens / profile.memoryTokens;
+      const unreadTokens = load.unreadPromptTokens + size.promptTokens;
+      score += PREFILL_WEIGHT * unreadTokens / PROMPT_TOKENS_PER_MS / 1000;
       score *= engine.tokenMs / INITIAL_TOKEN_MS;
-      if (record.zone !== options.zone) score += REMOTE_PENALTY;
+      if (record.zone !== options.zone) {
+        score += options.isMove ? REMOTE_MOVE_PENALTY : REMOTE_PENALTY;
+      }
       score += 0.01 * options.random.next();
       if (score >= bestScore) continue;
       best = record;
@@ -103,29 +108,17 @@
     return best;
   }
 
-  /** Whether an engine has a slot and memory for a generation of `size`. */
-  hasRoom(candidate: EngineCandidate, size: GenerationSize): boolean {
-    const engine = this.#getEngine(candidate.record.instance);
-    if (engine.runs.size + engine.foreign.runs >= candidate.profile.slots) return false;
-    const needed = predictTotalTokens(size, 0);
-    const reserved = this.getReservedTokens(candidate.record.instance);
-    return reserved + needed <= candidate.profile.memoryTokens * PLANNED_SHARE;
-  }
-
-  /** Tokens that the engine's runs are predicted to hold at their ends. */
-  getReservedTokens(instance: core.InstanceId): number {
-    const engine = this.#getEngine(instance);
-    return engine.foreign.reservedTokens + this.#getOwnLoad(engine).reservedTokens;
-  }
-
-  /** What this process itself runs at an engine. */
-  getOwnLoad(instance: core.InstanceId): ForeignLoad {
-    return this.#getOwnLoad(this.#getEngine(instance));
-  }
-
-  /** Replaces what others run at an engine. */
-  updateForeignLoad(instance: core.InstanceId, load: ForeignLoad): void {
-    this.#getEngine(instance).foreign = load;
+  /** What this process itself runs, by engine; `listMoving` gives what it moves away. */
+  listOwnLoads(
+    getMovingTokens: (instance: core.InstanceId) => number,
+  ): boards.EngineLoad[] {
+    const loads: boards.EngineLoad[] = [];
+    for (const [instance, engine] of this.#engines) {
+      const movingTokens = getMovingTokens(instance);
+      if (engine.runs.size === 0 && movingTokens === 0) continue;
+      loads.push({ instance, ...sumRuns(engine.runs.values()), movingTokens });
+    }
+    return loads;
   }
 
   recordStart(instance: core.InstanceId, request: core.RequestId, size: GenerationSize): void {
@@ -162,29 +155,15 @@
     this.#engines.delete(instance);
   }
 
-  /** Engines that this process has runs at. */
-  listBusy(): core.InstanceId[] {
-    const busy: core.InstanceId[] = [];
-    for (const [instance, engine] of this.#engines) {
-      if (engine.runs.size > 0) busy.push(instance);
-    }
-    return busy;
-  }
-
-  #getOwnLoad(engine: Engine): ForeignLoad {
-    let reservedTokens = 0;
-    let unreadPromptTokens = 0;
-    for (const run of engine.runs.values()) {
-      reservedTokens += predictTotalTokens(run.size, run.generatedTokens);
-      if (!run.hasStarted) unreadPromptTokens += run.size.promptTokens;
-    }
-    return { runs: engine.runs.size, reservedTokens, unreadPromptTokens };
-  }
-
-  #getPrefillSeconds(engine: Engine, size: GenerationSize): number {
-    const unread = engine.foreign.unreadPromptTokens +
-      this.#getOwnLoad(engine).unreadPromptTokens + size.promptTokens;
-    return unread / PROMPT_TOKENS_PER_MS / 1000;
+  #getLoad(instance: core.InstanceId): boards.LoadSum {
+    const own = sumRuns(this.#getEngine(instance).runs.values());
+    const others = this.#board.getSum(instance);
+    return {
+      runs: own.runs + others.runs,
+      reservedTokens: own.reservedTokens + others.reservedTokens,
+      unreadPromptTokens: own.unreadPromptTokens + others.unreadPromptTokens,
+      movingTokens: others.movingTokens,
+    };
   }
 
   #getEngine(instance: core.InstanceId): Engine {
@@ -192,7 +171,6 @@
     if (engine === undefined) {
       engine = {
         runs: new Map(),
-        foreign: NO_LOAD,
         avoidUntil: -Infinity,
         tokenMs: INITIAL_TOKEN_MS,
       };
@@ -201,3 +179,25 @@
     return engine;
   }
 }
+
+function hasRoom(
+  load: boards.LoadSum,
+  profile: core.EngineProfile,
+  size: GenerationSize,
+): boolean {
+  if (load.runs >= profile.slots) return false;
+  const needed = load.reservedTokens + predictTotalTokens(size, 0);
+  return needed <= profile.memoryTokens * PLANNED_SHARE;
+}
+
+function sumRuns(runs: Iterable<Run>): Omit<boards.LoadSum, "movingTokens"> {
+  let count = 0;
+  let reservedTokens = 0;
+  let unreadPromptTokens = 0;
+  for (const run of runs) {
+    count += 1;
+    reservedTokens += predictTotalTokens(run.size, run.generatedTokens);
+    if (!run.hasStarted) unreadPromptTokens += run.size.promptTokens;
+  }
+  return { runs: count, reservedTokens, unreadPromptTokens };
+}
--- /dev/null
+++ b/packages/policy/src/engine_placement_test.ts
@@ -0,0 +1,75 @@
+import * as core from "@peridotvale/core";
+import * as tap from "tap";
+import * as placements from "./engine_placement.ts";
+import * as boards from "./load_board.ts";
+
+const ZONE = core.createId<core.ZoneName>("a");
+const DRAFT = { promptTokens: 3_000, maxOutputTokens: 2_000, expectedOutputTokens: 900 };
+const PROFILE: core.EngineProfile = {
+  slots: 24,
+  memoryTokens: 34_000,
+  tokensPerEvent: 4,
+  canMove: true,
+  bytesPerToken: 35_000,
+  linkMbps: 5_000,
+};
+
+function createCandidates(count: number): placements.EngineCandidate[] {
+  return Array.from({ length: count }, (_, index) => ({
+    record: {
+      instance: core.createId<core.InstanceId>(`engine-${index}`),
+      endpoint: core.createId<core.EndpointId>(`10.0.0.${index}:80`),
+      service: core.createId<core.ServiceName>("drafts"),
+      zone: ZONE,
+      isDraining: false,
+      slots: 24,
+      startedAt: undefined,
+      coldLeftMs: 0,
+    },
+    profile: PROFILE,
+  }));
+}
+
+function createOptions(now: number) {
+  return { now, zone: ZONE, avoid: new Set<core.InstanceId>(), random: new core.SeededRandom(1) };
+}
+
+tap.t.test("a flood of drafts fills memory, not slots, and evenly", (t) => {
+  const placement = new placements.EnginePlacement(new boards.LoadBoard());
+  const candidates = createCandidates(4);
+  const counts = new Map<string, number>();
+  for (let i = 0; i < 100; i++) {
+    const chosen = placement.chooseEngine(candidates, DRAFT, createOptions(i));
+    if (chosen === undefined) break;
+    const request = core.createId<core.RequestId>(`request-${i}`);
+    placement.recordStart(chosen.instance, request, DRAFT);
+    placement.recordProgress(chosen.instance, request, { generatedTokens: 4, tokenMs: 9 });
+    counts.set(chosen.instance, (counts.get(chosen.instance) ?? 0) + 1);
+  }
+  t.same([...counts.values()], [8, 8, 8, 8]);
+  t.end();
+});
+
+tap.t.test("what other processes have placed counts", (t) => {
+  const board = new boards.LoadBoard();
+  const placement = new placements.EnginePlacement(board);
+  const candidates = createCandidates(2);
+  const [busy, idle] = candidates.map((one) => one.record.instance);
+  const load = { runs: 4, reservedTokens: 16_000, unreadPromptTokens: 0, movingTokens: 0 };
+  board.applyReport(core.createId("other"), [{ instance: busy!, ...load }], 0);
+  for (let i = 0; i < 5; i++) {
+    t.equal(placement.chooseEngine(candidates, DRAFT, createOptions(i))?.instance, idle);
+  }
+  board.expireReports(10_000);
+  t.equal(board.processCount, 0, "a process that is silent is forgotten");
+  t.end();
+});
+
+tap.t.test("an engine that refused is left alone for a while", (t) => {
+  const placement = new placements.EnginePlacement(new boards.LoadBoard());
+  const [candidate] = createCandidates(1);
+  placement.recordRefusal(candidate!.record.instance, 0);
+  t.equal(placement.chooseEngine([candidate!], DRAFT, createOptions(10)), undefined);
+  t.not(placement.chooseEngine([candidate!], DRAFT, createOptions(1_000)), undefined);
+  t.end();
+});
--- /dev/null
+++ b/packages/policy/src/instance_directory_test.ts
@@ -0,0 +1,73 @@
+import * as core from "@peridotvale/core";
+import * as tap from "tap";
+import * as directories from "./instance_directory.ts";
+
+const SERVICE = core.createId<core.ServiceName>("desk");
+
+function createRecord(
+  id: string,
+  changes: Partial<core.EndpointRecord> = {},
+): core.EndpointRecord {
+  return {
+    instance: core.createId<core.InstanceId>(id),
+    endpoint: core.createId<core.EndpointId>(`10.0.0.1:${8000 + id.length}`),
+    service: SERVICE,
+    zone: core.createId<core.ZoneName>("a"),
+    isDraining: false,
+    slots: 6,
+    startedAt: 1,
+    coldLeftMs: 0,
+    ...changes,
+  };
+}
+
+function listIds(directory: directories.InstanceDirectory): string[] {
+  return directory.listUsable(SERVICE).map((record) => record.instance);
+}
+
+tap.t.test("a draining, removed or misdirected instance gets no new work", (t) => {
+  const directory = new directories.InstanceDirectory();
+  directory.applyListing([createRecord("a"), createRecord("b"), createRecord("c")], 0);
+  t.same(listIds(directory), ["a", "b", "c"]);
+  const [change] = directory.applyRecord(createRecord("a", { isDraining: true }), 1);
+  t.equal(change?.type, "leaving");
+  directory.removeRecord(createRecord("b").instance, 1);
+  directory.recordMisdirected(createRecord("c").instance, 1);
+  t.same(listIds(directory), []);
+  t.same(directory.applyRecord(createRecord("c", { coldLeftMs: 5 }), 2), []);
+  t.same(listIds(directory), [], "its entry alone does not bring a misdirected instance back");
+  t.end();
+});
+
+tap.t.test("a new life under the same id counts anew", (t) => {
+  const directory = new directories.InstanceDirectory();
+  directory.applyListing([createRecord("a")], 0);
+  directory.recordMisdirected(createRecord("a").instance, 1);
+  const [change] = directory.applyRecord(createRecord("a", { startedAt: 2 }), 2);
+  t.equal(change?.type, "added");
+  t.same(listIds(directory), ["a"]);
+  t.end();
+});
+
+tap.t.test("an entry that is missing is gone, at once while the store serves", (t) => {
+  const directory = new directories.InstanceDirectory();
+  directory.applyListing([createRecord("a"), createRecord("b")], 0);
+  const changes = directory.applyListing([createRecord("b")], 1);
+  t.same(changes.map((change) => change.type), ["leaving"]);
+  t.same(listIds(directory), ["b"]);
+  t.end();
+});
+
+tap.t.test("entries that lapsed while the store was away have 2 s to return", (t) => {
+  const directory = new directories.InstanceDirectory();
+  directory.applyListing([createRecord("a"), createRecord("b")], 0);
+  directory.recordStoreReturn(10_000);
+  directory.applyListing([], 10_010);
+  t.same(listIds(directory), ["a", "b"]);
+  directory.applyRecord(createRecord("a"), 11_000);
+  t.same(directory.expireInstances(11_900), []);
+  const changes = directory.expireInstances(12_000);
+  t.same(changes.map((change) => change.record.instance), ["b"]);
+  t.same(listIds(directory), ["a"]);
+  t.end();
+});
--- /dev/null
+++ b/packages/policy/src/load_board.ts
@@ -0,0 +1,91 @@
+/**
+ * What other processes run at engines, from their own reports. Answers many
+ * processes that choose among the same engines at once: each counts what the
+ * others have placed, a tenth of a second old, in place of the engines' lagging
+ * reports.
+ */
+
+import type * as core from "@peridotvale/core";
+
+/** What one process runs at one engine. */
+export interface EngineLoad {
+  readonly instance: core.InstanceId;
+  readonly runs: number;
+  /** Tokens that its runs are predicted to hold at their ends. */
+  readonly reservedTokens: number;
+  /** Prompt tokens of runs that have not started. */
+  readonly unreadPromptTokens: number;
+  /** Tokens of memory that it still wants to move away from the engine. */
+  readonly movingTokens: number;
+}
+
+/** Sums over processes. */
+export type LoadSum = Omit<EngineLoad, "instance">;
+
+interface Report {
+  readonly loads: ReadonlyMap<core.InstanceId, EngineLoad>;
+  readonly receivedAt: number;
+}
+
+/** A report that is not renewed for this long is dropped; reports come every half second. */
+const REPORT_TTL_MS = 2_500;
+
+/** The newest report of each process. */
+export class LoadBoard {
+  readonly #reports = new Map<core.ProcessId, Report>();
+
+  /** Replaces the report of `process`. */
+  applyReport(process: core.ProcessId, loads: readonly EngineLoad[], now: number): void {
+    const byInstance = new Map(loads.map((load) => [load.instance, load]));
+    this.#reports.set(process, { loads: byInstance, receivedAt: now });
+  }
+
+  /** Forgets a process that has ended. */
+  dropProcess(process: core.ProcessId): void {
+    this.#reports.delete(process);
+  }
+
+  /** Forgets processes that have not reported for long. */
+  expireReports(now: number): void {
+    for (const [process, report] of this.#reports) {
+      if (now - report.receivedAt > REPORT_TTL_MS) this.#reports.delete(process);
+    }
+  }
+
+  /** Whether `process` reports. */
+  hasReport(process: core.ProcessId): boolean {
+    return this.#reports.has(process);
+  }
+
+  /** Processes that report. */
+  get processCount(): number {
+    return this.#reports.size;
+  }
+
+  /** What all reporting processes run at `instance`. */
+  getSum(instance: core.InstanceId): LoadSum {
+    let runs = 0;
+    let reservedTokens = 0;
+    let unreadPromptTokens = 0;
+    let movingTokens = 0;
+    for (const report of this.#reports.values()) {
+      const load = report.loads.get(instance);
+      if (load === undefined) continue;
+      runs += load.runs;
+      reservedTokens += load.reservedTokens;
+      unreadPromptTokens += load.unreadPromptTokens;
+      movingTokens += load.movingTokens;
+    }
+    return { runs, reservedTokens, unreadPromptTokens, movingTokens };
+  }
+
+  /** Tokens that each process still wants to move away from `instance`. */
+  listMoving(instance: core.InstanceId): { process: core.ProcessId; tokens: number }[] {
+    const moving: { process: core.ProcessId; tokens: number }[] = [];
+    for (const [process, report] of this.#reports) {
+      const tokens = report.loads.get(instance)?.movingTokens ?? 0;
+      if (tokens > 0) moving.push({ process, tokens });
+    }
+    return moving;
+  }
+}
