Let generations wait for memory in place of a refusal

Ruled out: a longer Retry-After (the caller waits as long, but not in a queue that serves the most urgent and smallest first). Change: a queue for each process, ordered by rank, lateness, the workspace's share and arrival; refused at once is what could not be whole in time by the predicted wait.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -62,7 +62,10 @@
   constructor(options: GatewayOptions) {
     this.#options = options;
     this.#context = this.#createContext();
-    this.#streams = new streams.StreamForwarder(this.#context);
+    this.#streams = new streams.StreamForwarder({
+      context: this.#context,
+      reportNow: () => this.#peers.reportNow(),
+    });
     this.#handOvers = new handOvers.HandOverAgent({
       context: this.#context,
       listRelays: () => this.#streams.relays,
--- a/packages/gateway/src/hand_over_agent.ts
+++ b/packages/gateway/src/hand_over_agent.ts
@@ -98,6 +98,7 @@
         zone: source.zone,
         avoid: new Set([source.instance, ...full]),
         random: context.random,
+        rank: relay.routed.rank,
         isMove: true,
       },
     );
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -1,4 +1,4 @@
-/** Forwards generations: chooses an engine, or waits for one, and relays its events. */
+/** Forwards generations: each waits for an engine with room, and its events are relayed. */
 
 import type * as core from "@peridotvale/core";
 import * as policy from "@peridotvale/policy";
@@ -7,20 +7,42 @@
 import type * as requests from "./open_request.ts";
 import * as problems from "./problems.ts";
 
+/** Options of {@linkcode StreamForwarder}. */
+export interface StreamForwarderOptions {
+  readonly context: contexts.GatewayContext;
+  /** Tells the other processes what this one runs. */
+  readonly reportNow: () => void;
+}
+
+/** Why a request got no engine. */
+type NoEngine = "caller_gone" | "no_engine_in_time";
+
+interface Waiter {
+  readonly avoid: ReadonlySet<core.InstanceId>;
+  readonly resolve: (endpoint: core.EndpointRecord | NoEngine) => void;
+}
+
 /** Size assumed of a stream that declares none. */
 const UNDECLARED_SIZE: policy.GenerationSize = {
   promptTokens: 1_000,
   maxOutputTokens: 1_000,
   expectedOutputTokens: undefined,
 };
+/** While requests wait, room is looked for this often; the others' reports come every 100 ms. */
+const PLACE_INTERVAL_MS = 25;
+/** Sends of one request that engines may refuse, before it is refused for now. */
+const MAX_REFUSALS = 3;
 
 /** Sends generations to engines. */
 export class StreamForwarder {
-  readonly #context: contexts.GatewayContext;
+  readonly #options: StreamForwarderOptions;
   readonly #relays = new Set<relays.GenerationRelay>();
+  readonly #queue = new policy.GenerationQueue();
+  readonly #waiters = new Map<core.RequestId, Waiter>();
+  #timer: NodeJS.Timeout | undefined;
 
-  constructor(context: contexts.GatewayContext) {
-    this.#context = context;
+  constructor(options: StreamForwarderOptions) {
+    this.#options = options;
   }
 
   /** Generations that are open now. */
@@ -28,85 +50,154 @@
     return this.#relays;
   }
 
+  /** Generations that wait for an engine. */
+  get waitingCount(): number {
+    return this.#queue.size;
+  }
+
   /** Serves `request` to its end. */
   async serve(request: requests.OpenRequest, routed: requests.RoutedRequest): Promise<void> {
+    const { context } = this.#options;
     const size = request.head.generation ?? UNDECLARED_SIZE;
-    const budget = this.#context.getBudget(routed.service);
-    budget.recordRequest(this.#context.clock.now());
+    const budget = context.getBudget(routed.service);
+    budget.recordRequest(context.clock.now());
+    const waiting = createWaiting(request, routed, size);
     const tried = new Set<core.InstanceId>();
-    let refusedSends = 0;
-    let reason = "no_engine_with_room";
+    let refusals = 0;
     for (;;) {
-      const endpoint = this.#chooseEngine(routed, size, tried);
-      if (endpoint === undefined) break;
-      tried.add(endpoint.instance);
-      const end = await this.#relay(request, routed, { endpoint, size });
+      const endpoint = await this.#acquireEngine(request, waiting, tried);
+      if (typeof endpoint === "string") return this.#refuse(request, endpoint);
+      if (request.end !== undefined) {
+        return context.engines.recordEnd(endpoint.instance, request.id);
+      }
+      const end = await this.#relay(request, routed, { endpoint, size, waiting });
       if (request.end !== undefined || end === undefined) return;
-      const now = this.#context.clock.now();
-      refusedSends += 1;
-      reason = end.reason;
-      const next = policy.chooseNextSend({
-        kind: routed.route.kind,
-        outcome: end.outcome,
-        ranSends: end.outcome === "not_run" ? 0 : 1,
-        refusedSends,
-        maxAttempts: routed.route.maxAttempts,
-        answerBy: request.answerBy,
-      }, now);
-      const mayRepeat = next.type === "again" &&
-        budget.takeRepeat(now, this.#context.getProcessCount());
-      this.#context.logger.write("send_ended", {
+      if (end.outcome !== "not_run") return this.#answerFailure(request, end);
+      refusals += 1;
+      tried.add(endpoint.instance);
+      const mayRepeat = refusals < MAX_REFUSALS &&
+        budget.takeRepeat(context.clock.now(), context.getProcessCount());
+      context.logger.write("send_ended", {
         request: request.id,
         instance: endpoint.instance,
         outcome: end.outcome,
         reason: end.reason,
-        next: next.type === "stop" ? next.reason : mayRepeat ? "again" : "budget_exhausted",
+        next: mayRepeat ? "again" : "stop",
       });
-      if (mayRepeat) continue;
-      if (end.outcome !== "not_run") return this.#answerFailure(request, end);
-      break;
+      if (!mayRepeat) return this.#refuse(request, end.reason);
     }
-    request.answerProblem(problems.createFailure(503, reason, {
-      outcome: "not_run",
-      detail: `no engine of ${routed.service} takes the generation now`,
-      retryAfterMs: problems.drawRetryAfter(this.#context.random),
-    }));
   }
 
-  #chooseEngine(
-    routed: requests.RoutedRequest,
-    size: policy.GenerationSize,
+  /** Waits for an engine with room. */
+  async #acquireEngine(
+    request: requests.OpenRequest,
+    waiting: policy.WaitingGeneration,
     avoid: ReadonlySet<core.InstanceId>,
+  ): Promise<core.EndpointRecord | NoEngine> {
+    const { context } = this.#options;
+    const now = context.clock.now();
+    if (this.#queue.isHopeless(waiting, now)) return "no_engine_in_time";
+    return await new Promise((resolve) => {
+      this.#waiters.set(waiting.request, { avoid, resolve });
+      this.#queue.add(waiting);
+      request.setCancel(() => {
+        this.#queue.remove(waiting.request);
+        this.#settle(waiting.request, "caller_gone");
+      });
+      this.#placeWaiting();
+    });
+  }
+
+  #placeWaiting(): void {
+    const { context } = this.#options;
+    const now = context.clock.now();
+    let hasPlaced = false;
+    this.#queue.placeWaiting(now, (waiting) => {
+      const endpoint = this.#chooseEngine(waiting, now);
+      if (endpoint === undefined) return false;
+      // Counted from here on, so that the next choice sees it.
+      context.engines.recordStart(endpoint.instance, waiting.request, waiting.size);
+      hasPlaced = true;
+      this.#settle(waiting.request, endpoint);
+      return true;
+    });
+    for (const hopeless of this.#queue.takeHopeless(now)) {
+      this.#settle(hopeless.request, "no_engine_in_time");
+    }
+    if (hasPlaced && this.#queue.size > 0) this.#options.reportNow();
+    this.#schedule();
+  }
+
+  #schedule(): void {
+    if (this.#queue.size === 0 || this.#timer !== undefined) return;
+    const jitter = 0.5 + this.#options.context.random.next();
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      this.#placeWaiting();
+    }, PLACE_INTERVAL_MS * jitter);
+  }
+
+  #settle(request: core.RequestId, result: core.EndpointRecord | NoEngine): void {
+    const waiter = this.#waiters.get(request);
+    this.#waiters.delete(request);
+    waiter?.resolve(result);
+  }
+
+  #chooseEngine(
+    waiting: policy.WaitingGeneration,
+    now: number,
   ): core.EndpointRecord | undefined {
-    return this.#context.engines.chooseEngine(
-      this.#context.listEngines(routed.service),
-      size,
-      {
-        now: this.#context.clock.now(),
-        zone: this.#context.settings.zone,
-        avoid,
-        random: this.#context.random,
-      },
-    );
+    const { context } = this.#options;
+    return context.engines.chooseEngine(context.listEngines(waiting.service), waiting.size, {
+      now,
+      zone: context.settings.zone,
+      avoid: this.#waiters.get(waiting.request)?.avoid ?? new Set(),
+      random: context.random,
+      rank: waiting.rank,
+    });
   }
 
-  /** Relays one run; the result is set if nothing was delivered and another engine may be tried. */
+  /** Relays one run; the result is set if nothing was delivered. */
   async #relay(
     request: requests.OpenRequest,
     routed: requests.RoutedRequest,
-    options: { readonly endpoint: core.EndpointRecord; readonly size: policy.GenerationSize },
+    options: {
+      readonly endpoint: core.EndpointRecord;
+      readonly size: policy.GenerationSize;
+      readonly waiting: policy.WaitingGeneration;
+    },
   ): Promise<relays.UndeliveredEnd | undefined> {
-    const relay = new relays.GenerationRelay(this.#context, { request, routed, ...options });
+    const { context } = this.#options;
+    const { waiting } = options;
+    const now = context.clock.now();
+    context.logger.write("engine_chosen", {
+      request: request.id,
+      instance: options.endpoint.instance,
+      waited_ms: Math.round(now - request.arrivedAt),
+      waiting: this.#queue.size,
+    });
+    const relay = new relays.GenerationRelay(context, { request, routed, ...options });
     this.#relays.add(relay);
+    this.#queue.recordStart(waiting, now);
     try {
       return await relay.run();
     } finally {
       this.#relays.delete(relay);
+      this.#queue.recordEnd(waiting);
+      this.#placeWaiting();
     }
   }
 
+  #refuse(request: requests.OpenRequest, reason: string): void {
+    request.answerProblem(problems.createFailure(503, reason, {
+      outcome: "not_run",
+      detail: "no engine takes the generation in time",
+      retryAfterMs: problems.drawRetryAfter(this.#options.context.random),
+    }));
+  }
+
   #answerFailure(request: requests.OpenRequest, end: relays.UndeliveredEnd): void {
-    const isLate = request.getRemainingMs(this.#context.clock.now()) <= 0;
+    const isLate = request.getRemainingMs(this.#options.context.clock.now()) <= 0;
     const status = policy.chooseFailureStatus(end.outcome, { isLate });
     request.answerProblem(problems.createFailure(status, end.reason, {
       outcome: end.outcome,
@@ -114,3 +205,20 @@
     }));
   }
 }
+
+function createWaiting(
+  request: requests.OpenRequest,
+  routed: requests.RoutedRequest,
+  size: policy.GenerationSize,
+): policy.WaitingGeneration {
+  return {
+    request: request.id,
+    service: routed.service,
+    size,
+    rank: routed.rank,
+    workspace: routed.workspace,
+    arrivedAt: request.arrivedAt,
+    targetBy: request.arrivedAt + routed.route.targetLatencyMs,
+    answerBy: request.answerBy,
+  };
+}
--- a/packages/policy/src/engine_placement.ts
+++ b/packages/policy/src/engine_placement.ts
@@ -35,7 +35,10 @@
 }
 
 /** Share of an engine's memory that is planned with; lengths are estimates. */
-const PLANNED_SHARE = 0.92;
+const PLANNED_SHARE = 1;
+/** Share that is kept free for the most urgent rank. */
+const URGENT_SHARE = 0.08;
+const MOST_URGENT_RANK = 0;
 /** Further output that is expected of a run beyond its estimate, by its output so far. */
 const OVERRUN_SHARE = 0.25;
 /** Time that an engine which refused or could not be reached is left alone. */
@@ -81,6 +84,8 @@
       readonly zone: core.ZoneName;
       readonly avoid: ReadonlySet<core.InstanceId>;
       readonly random: core.RandomSource;
+      /** 0 is the most urgent. */
+      readonly rank: number;
       /** Whether memory moves there; it takes twice as long into another zone. */
       readonly isMove?: boolean;
     },
@@ -92,7 +97,10 @@
       const engine = this.#getEngine(record.instance);
       if (options.avoid.has(record.instance) || options.now < engine.avoidUntil) continue;
       const load = this.#getLoad(record.instance);
-      if (!hasRoom(load, profile, size)) continue;
+      const share = options.rank === MOST_URGENT_RANK
+        ? PLANNED_SHARE
+        : PLANNED_SHARE - URGENT_SHARE;
+      if (!hasRoom(load, profile, { size, share })) continue;
       let score = load.reservedTokens / profile.memoryTokens;
       const unreadTokens = load.unreadPromptTokens + size.promptTokens;
       score += PREFILL_WEIGHT * unreadTokens / PROMPT_TOKENS_PER_MS / 1000;
@@ -183,11 +191,11 @@
 function hasRoom(
   load: boards.LoadSum,
   profile: core.EngineProfile,
-  size: GenerationSize,
+  wanted: { readonly size: GenerationSize; readonly share: number },
 ): boolean {
   if (load.runs >= profile.slots) return false;
-  const needed = load.reservedTokens + predictTotalTokens(size, 0);
-  return needed <= profile.memoryTokens * PLANNED_SHARE;
+  const needed = load.reservedTokens + predictTotalTokens(wanted.size, 0);
+  return needed <= profile.memoryTokens * wanted.share;
 }
 
 function sumRuns(runs: Iterable<Run>): Omit<boards.LoadSum, "movingTokens"> {
--- a/packages/policy/src/engine_placement_test.ts
+++ b/packages/policy/src/engine_placement_test.ts
@@ -31,7 +31,13 @@
 }
 
 function createOptions(now: number) {
-  return { now, zone: ZONE, avoid: new Set<core.InstanceId>(), random: new core.SeededRandom(1) };
+  return {
+    now,
+    zone: ZONE,
+    avoid: new Set<core.InstanceId>(),
+    random: new core.SeededRandom(1),
+    rank: 2,
+  };
 }
 
 tap.t.test("a flood of drafts fills memory, not slots, and evenly", (t) => {
--- /dev/null
+++ b/packages/policy/src/generation_queue.ts
@@ -0,0 +1,144 @@
+/**
+ * Generations that wait for an engine with room: who is next, and who cannot be
+ * served any more. Answers floods of one kind of request beyond the engines'
+ * memory: the most urgent go first, a workspace with little running goes before
+ * one with much, and what can still be on time goes before what is late.
+ */
+
+import type * as core from "@peridotvale/core";
+import * as placements from "./engine_placement.ts";
+
+/** A generation that waits. */
+export interface WaitingGeneration {
+  readonly request: core.RequestId;
+  readonly service: core.ServiceName;
+  readonly size: placements.GenerationSize;
+  /** 0 is the most urgent. */
+  readonly rank: number;
+  readonly workspace: core.WorkspaceName | undefined;
+  readonly arrivedAt: number;
+  /** When its first event has to come to be on time. */
+  readonly targetBy: number;
+  /** When its last event has to have come. */
+  readonly answerBy: number;
+}
+
+/** Tries to place a generation; returns whether it did. */
+export type TryPlace = (waiting: WaitingGeneration) => boolean;
+
+/** Time of one token that is reckoned with when a generation counts as hopeless. */
+const TOKEN_MS = 7;
+/** Time to read a prompt token, where the engine does nothing else. */
+const PROMPT_TOKEN_MS = 1 / 14;
+/** Rate of admissions is measured over this time. */
+const RATE_WINDOW_MS = 5_000;
+/** Fewest admissions from which a rate is taken. */
+const MIN_ADMISSIONS = 4;
+
+interface Admission {
+  readonly at: number;
+  readonly tokens: number;
+}
+
+/** The queue of one process. */
+export class GenerationQueue {
+  readonly #waiting = new Map<core.RequestId, WaitingGeneration>();
+  readonly #running = new Map<string, number>();
+  #admissions: Admission[] = [];
+
+  get size(): number {
+    return this.#waiting.size;
+  }
+
+  add(waiting: WaitingGeneration): void {
+    this.#waiting.set(waiting.request, waiting);
+  }
+
+  remove(request: core.RequestId): void {
+    this.#waiting.delete(request);
+  }
+
+  /** Records that a generation has started at an engine. */
+  recordStart(waiting: WaitingGeneration, now: number): void {
+    const key = waiting.workspace ?? "";
+    this.#running.set(key, (this.#running.get(key) ?? 0) + 1);
+    this.#admissions.push({ at: now, tokens: getTokens(waiting) });
+  }
+
+  /** Records that a generation has left its engine. */
+  recordEnd(waiting: WaitingGeneration): void {
+    const key = waiting.workspace ?? "";
+    const left = (this.#running.get(key) ?? 1) - 1;
+    if (left > 0) this.#running.set(key, left);
+    else this.#running.delete(key);
+  }
+
+  /** Places what can be placed, the next first; stops at the first that finds no room. */
+  placeWaiting(now: number, tryPlace: TryPlace): void {
+    const blockedServices = new Set<core.ServiceName>();
+    for (const waiting of this.#listInOrder(now)) {
+      if (blockedServices.has(waiting.service)) continue;
+      if (!tryPlace(waiting)) blockedServices.add(waiting.service);
+      else this.#waiting.delete(waiting.request);
+    }
+  }
+
+  /** Takes out those that could not be whole in time even if they started now. */
+  takeHopeless(now: number): WaitingGeneration[] {
+    const hopeless: WaitingGeneration[] = [];
+    for (const waiting of this.#waiting.values()) {
+      if (now + predictDurationMs(waiting) <= waiting.answerBy) continue;
+      this.#waiting.delete(waiting.request);
+      hopeless.push(waiting);
+    }
+    return hopeless;
+  }
+
+  /**
+   * Predicts the wait of one more generation from what waits before it and from how
+   * fast generations were admitted lately; 0 while that is not known.
+   */
+  predictWaitMs(candidate: WaitingGeneration, now: number): number {
+    this.#admissions = this.#admissions.filter((one) => now - one.at <= RATE_WINDOW_MS);
+    const [oldest] = this.#admissions;
+    if (oldest === undefined || this.#admissions.length < MIN_ADMISSIONS) return 0;
+    let before = 0;
+    for (const waiting of this.#waiting.values()) {
+      if (waiting.rank <= candidate.rank) before += getTokens(waiting);
+    }
+    const admitted = this.#admissions.reduce((sum, one) => sum + one.tokens, 0);
+    return before / (admitted / RATE_WINDOW_MS);
+  }
+
+  /** Whether `candidate` would start too late to be whole in time. */
+  isHopeless(candidate: WaitingGeneration, now: number): boolean {
+    const startAt = now + this.predictWaitMs(candidate, now);
+    return startAt + predictDurationMs(candidate) > candidate.answerBy;
+  }
+
+  #listInOrder(now: number): WaitingGeneration[] {
+    const ahead = new Map(this.#running);
+    const byArrival = [...this.#waiting.values()].sort((a, b) => a.arrivedAt - b.arrivedAt);
+    const keyed = byArrival.map((waiting) => {
+      const workspace = waiting.workspace ?? "";
+      const share = ahead.get(workspace) ?? 0;
+      ahead.set(workspace, share + 1);
+      return { waiting, share, isLate: now > waiting.targetBy };
+    });
+    keyed.sort((a, b) =>
+      a.waiting.rank - b.waiting.rank || Number(a.isLate) - Number(b.isLate) ||
+      a.share - b.share || a.waiting.arrivedAt - b.waiting.arrivedAt
+    );
+    return keyed.map((one) => one.waiting);
+  }
+}
+
+function getTokens(waiting: WaitingGeneration): number {
+  return placements.predictTotalTokens(waiting.size, 0);
+}
+
+function predictDurationMs(waiting: WaitingGeneration): number {
+  const { promptTokens } = waiting.size;
+  const output = getTokens(waiting) - promptTokens;
+  return promptTokens * PROMPT_TOKEN_MS + output * TOKEN_MS;
+}
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./engine_placement.ts";
 export * from "./evacuation.ts";
 export * from "./fair_queue.ts";
+export * from "./generation_queue.ts";
 export * from "./group_commit.ts";
 export * from "./instance_directory.ts";
 export * from "./lease_holder.ts";
