Tell peers of leaving engines, ask engines while the store is away, let moves overcommit

Change: a move may plan with 1.3 of a target's memory, and looks again where none has room; processes tell each other what they saw leaving, with the store's revision, so that older entries do not contradict; while the store does not answer one process asks each engine that runs generations.

--- a/packages/core/src/routing_config.ts
+++ b/packages/core/src/routing_config.ts
@@ -106,6 +106,8 @@
   readonly slots: number;
   /** Wall time of its start; tells apart two lives under one instance id. */
   readonly startedAt: number | undefined;
+  /** Revision of the store at which the entry was written. */
+  readonly revision: number;
   /** How much longer it is slow after its start. */
   readonly coldLeftMs: number;
 }
--- a/packages/gateway/src/engine_control.ts
+++ b/packages/gateway/src/engine_control.ts
@@ -28,6 +28,12 @@
   readonly timeoutMs: number;
 }
 
+/** What an engine says of itself. */
+export interface EngineState {
+  /** Whether it takes no new work and will be gone soon. */
+  readonly isLeaving: boolean;
+}
+
 /** Moves the memory of running generations. */
 export interface EngineControl {
   /** Copies what the target does not have yet; the result comes when the copy is whole. */
@@ -35,6 +41,8 @@
     source: core.EndpointId,
     order: CopyOrder,
   ): Promise<neverthrow.Result<MemoryCopy, CopyError>>;
+  /** Asks an engine for its state; undefined if it gave none. Each question has its price. */
+  readState(endpoint: core.EndpointId): Promise<EngineState | undefined>;
   /** Frees a copy that will not be used. */
   releaseMemory(source: core.EndpointId, handle: string): Promise<void>;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import type * as contexts from "./gateway_context.ts";
 import type * as settingsModule from "./gateway_settings.ts";
 import * as handOvers from "./hand_over_agent.ts";
+import * as leaveWatchers from "./leave_watcher.ts";
 import * as peerAgents from "./peer_agent.ts";
 import * as handlers from "./request_handler.ts";
 import type * as stores from "./routing_store.ts";
@@ -54,6 +55,7 @@
   readonly #front: http.Server;
   readonly #health: http.Server;
   readonly #peers: peerAgents.PeerAgent;
+  readonly #leaveWatcher: leaveWatchers.LeaveWatcher;
   readonly #announcer: announcers.Announcer;
   readonly #budgets = new Map<core.ServiceName, policy.WindowBudget>();
   #isDraining = false;
@@ -80,7 +82,12 @@
         const { engines } = this.#context;
         return engines.listOwnLoads((instance) => this.#handOvers.getMovingTokens(instance));
       },
-      onReport: () => {},
+      listNotices: (now) => this.#context.directory.listNotices(now),
+      onNotices: (notices, now) => {
+        for (const notice of notices) {
+          this.#publishChanges(this.#context.directory.applyNotice(notice, now));
+        }
+      },
     });
     const { process, zone } = options.settings;
     this.#announcer = new announcers.Announcer({
@@ -101,6 +108,11 @@
       onPeerRemoved: (peer) => this.#peers.removePeer(peer),
       onChanges: (changes) => this.#publishChanges(changes),
     });
+    this.#leaveWatcher = new leaveWatchers.LeaveWatcher({
+      context: this.#context,
+      listRelays: () => this.#streams.relays,
+      getStoreOutageMs: (now) => this.#agent.getOutageMs(now),
+    });
     this.#handler = new handlers.RequestHandler({
       context: this.#context,
       agent: this.#agent,
@@ -123,6 +135,7 @@
     await this.#peers.start();
     this.#agent.start();
     void this.#announcer.run();
+    this.#leaveWatcher.start();
     await listenAt(this.#health, settings.health);
     await listenAt(this.#front, settings.front);
     this.#timer = setInterval(() => this.#expire(), EXPIRE_INTERVAL_MS);
@@ -145,6 +158,7 @@
     }
     this.#agent.stop();
     this.#announcer.stop();
+    this.#leaveWatcher.stop();
     this.#peers.stop();
     clearInterval(this.#timer);
     logger.write("stopped", { given_up: this.#handler.openCount });
--- a/packages/gateway/src/hand_over_agent.ts
+++ b/packages/gateway/src/hand_over_agent.ts
@@ -25,6 +25,8 @@
 const POLL_MS = 10;
 /** An engine that leaves is gone by then, or serves to the end of its runs. */
 const MAX_EVACUATION_MS = 6_000;
+/** Pause before a target is looked for again where none had room. */
+const NO_TARGET_WAIT_MS = 60;
 /** First reports of what others want to move arrive within this time. */
 const FIRST_REPORTS_MS = 12;
 /** Longest wait for other processes; a report of theirs may be lost. */
@@ -104,7 +106,7 @@
     );
     const failures = evacuation.failedMoves.get(run.request) ?? 0;
     if (target === undefined) {
-      evacuation.failedMoves.set(run.request, failures + 1);
+      await core.waitFor(NO_TARGET_WAIT_MS);
       context.logger.write("hand_over", {
         request: run.request,
         outcome: "no_target",
--- /dev/null
+++ b/packages/gateway/src/leave_watcher.ts
@@ -0,0 +1,62 @@
+/**
+ * Asks engines whether they leave while the store does not say: the store is away,
+ * or turns this machine away. One process asks each engine; the others hear of it.
+ */
+
+import type * as core from "@peridotvale/core";
+import * as policy from "@peridotvale/policy";
+import type * as contexts from "./gateway_context.ts";
+import type * as relays from "./generation_relay.ts";
+
+/** Options of {@linkcode LeaveWatcher}. */
+export interface LeaveWatcherOptions {
+  readonly context: contexts.GatewayContext;
+  readonly listRelays: () => ReadonlySet<relays.GenerationRelay>;
+  /** How long the store has not answered; 0 while it does. */
+  readonly getStoreOutageMs: (now: number) => number;
+}
+
+/** Engines are asked this often; a reclaim gives less than 2 s of notice. */
+const ASK_INTERVAL_MS = 200;
+/** The store may miss this much before engines are asked. */
+const MIN_OUTAGE_MS = 1;
+
+/** Watches the engines that run this process's generations. */
+export class LeaveWatcher {
+  readonly #options: LeaveWatcherOptions;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: LeaveWatcherOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => this.#askEngines(), ASK_INTERVAL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  #askEngines(): void {
+    const { context, listRelays, getStoreOutageMs } = this.#options;
+    if (getStoreOutageMs(context.clock.now()) < MIN_OUTAGE_MS) return;
+    const asked = new Set<core.InstanceId>();
+    for (const { endpoint } of listRelays()) {
+      if (asked.has(endpoint.instance)) continue;
+      asked.add(endpoint.instance);
+      const others = context.board.listBusyProcesses(endpoint.instance);
+      const isTurn = policy.isOwnTurn(context.settings.process, endpoint.instance, others);
+      if (isTurn && context.directory.isUsable(endpoint.instance)) void this.#ask(endpoint);
+    }
+  }
+
+  async #ask(endpoint: core.EndpointRecord): Promise<void> {
+    const { context } = this.#options;
+    const state = await context.engineControl.readState(endpoint.endpoint);
+    if (state === undefined || !state.isLeaving) return;
+    context.publishChanges(
+      context.directory.recordSeenLeaving(endpoint.instance, context.clock.now()),
+    );
+  }
+}
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -13,8 +13,9 @@
   readonly logger: core.Logger;
   readonly board: policy.LoadBoard;
   readonly listLoads: () => readonly policy.EngineLoad[];
-  /** Called after a report of another process. */
-  readonly onReport: () => void;
+  readonly listNotices: (now: number) => readonly policy.LeaveNotice[];
+  /** Called with what another process has seen leaving. */
+  readonly onNotices: (notices: readonly policy.LeaveNotice[], now: number) => void;
 }
 
 /** Changes are reported at most this often. */
@@ -113,16 +114,24 @@
   }
 
   #report(now: number, isForced: boolean): void {
-    const loads = this.#options.listLoads();
-    const text = JSON.stringify(loads);
+    const report = this.#createReport(now);
+    const text = JSON.stringify(report);
     if (!isForced && text === this.#lastReport) return;
     this.#lastReport = text;
     this.#lastReportAt = now;
     for (const link of this.#mesh.getLinks()) {
-      if (link.peer !== undefined) link.send({ type: "engine_loads", loads });
+      if (link.peer !== undefined) link.send(report);
     }
   }
 
+  #createReport(now: number): peers.EngineLoadsMessage {
+    return {
+      type: "engine_loads",
+      loads: this.#options.listLoads(),
+      notices: this.#options.listNotices(now),
+    };
+  }
+
   /** Of two processes, the one whose name comes first opens the link. */
   #updateTargets(): void {
     const targets: peers.PeerTarget[] = [];
@@ -134,14 +143,14 @@
 
   #onLinkOpened(link: peers.PeerLink): void {
     this.#options.logger.write("peer_linked", { peer: link.peer?.process });
-    link.send({ type: "engine_loads", loads: this.#options.listLoads() });
+    link.send(this.#createReport(this.#options.clock.now()));
   }
 
   #onMessage(link: peers.PeerLink, message: peers.PeerMessage): void {
     if (message.type !== "engine_loads" || link.peer === undefined) return;
     const now = this.#options.clock.now();
     this.#options.board.applyReport(link.peer.process, message.loads, now);
-    this.#options.onReport();
+    this.#options.onNotices(message.notices, now);
   }
 
   #onLinkLost(process: core.ProcessId): void {
--- a/packages/gateway/src/routing_store.ts
+++ b/packages/gateway/src/routing_store.ts
@@ -40,7 +40,11 @@
 export type StoreChange =
   | { readonly type: "config"; readonly config: core.RoutingConfig }
   | { readonly type: "endpoint"; readonly record: core.EndpointRecord }
-  | { readonly type: "endpoint_removed"; readonly instance: core.InstanceId }
+  | {
+    readonly type: "endpoint_removed";
+    readonly instance: core.InstanceId;
+    readonly revision: number;
+  }
   | { readonly type: "peer"; readonly peer: AnnouncedPeer }
   | { readonly type: "peer_removed"; readonly process: core.ProcessId }
   | { readonly type: "unreadable"; readonly detail: string };
--- a/packages/gateway/src/store_agent.ts
+++ b/packages/gateway/src/store_agent.ts
@@ -58,6 +58,11 @@
     return this.#hasListed;
   }
 
+  /** How long no call to the store has succeeded; 0 while calls do. */
+  getOutageMs(now: number): number {
+    return this.#failingSince === undefined ? 0 : now - this.#failingSince;
+  }
+
   start(): void {
     void this.#runConfirmations();
     void this.#runWatches();
@@ -138,7 +143,10 @@
     this.#watchedRevision = listing.value.storeRevision;
     this.#hasListed = true;
     for (const detail of listing.value.unreadable) logger.write("entry_unreadable", { detail });
-    const changes = directory.applyListing(listing.value.records, now);
+    const changes = directory.applyListing(listing.value.records, {
+      revision: listing.value.storeRevision,
+      now,
+    });
     logger.write("endpoints_listed", {
       endpoints: listing.value.records.length,
       revision: listing.value.storeRevision,
@@ -193,7 +201,10 @@
       case "endpoint":
         return this.#options.onChanges(directory.applyRecord(change.record, now), now);
       case "endpoint_removed":
-        return this.#options.onChanges(directory.removeRecord(change.instance, now), now);
+        return this.#options.onChanges(
+          directory.removeRecord(change.instance, change.revision, now),
+          now,
+        );
       case "peer":
         return this.#options.onPeer(change.peer);
       case "peer_removed":
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -70,6 +70,8 @@
 export interface EngineLoadsMessage {
   readonly type: "engine_loads";
   readonly loads: readonly policy.EngineLoad[];
+  /** Endpoints that the sender has seen leaving. */
+  readonly notices: readonly policy.LeaveNotice[];
 }
 
 /** Asks for the decisions about a request. */
--- a/packages/policy/src/engine_placement.ts
+++ b/packages/policy/src/engine_placement.ts
@@ -36,6 +36,11 @@
 
 /** Share of an engine's memory that is planned with; lengths are estimates. */
 const PLANNED_SHARE = 1;
+/**
+ * Share that a move may plan with: predicted ends do not fall together, and a
+ * generation that is not moved is lost. The engine itself refuses what has no room.
+ */
+const MOVE_SHARE = 1.3;
 /** Share that is kept free for the most urgent rank. */
 const URGENT_SHARE = 0.08;
 const MOST_URGENT_RANK = 0;
@@ -97,9 +102,7 @@
       const engine = this.#getEngine(record.instance);
       if (options.avoid.has(record.instance) || options.now < engine.avoidUntil) continue;
       const load = this.#getLoad(record.instance);
-      const share = options.rank === MOST_URGENT_RANK
-        ? PLANNED_SHARE
-        : PLANNED_SHARE - URGENT_SHARE;
+      const share = choosePlannedShare(options);
       if (!hasRoom(load, profile, { size, share })) continue;
       let score = load.reservedTokens / profile.memoryTokens;
       const unreadTokens = load.unreadPromptTokens + size.promptTokens;
@@ -188,6 +191,14 @@
   }
 }
 
+function choosePlannedShare(
+  options: { readonly rank: number; readonly isMove?: boolean },
+): number {
+  if (options.isMove === true) return MOVE_SHARE;
+  if (options.rank === MOST_URGENT_RANK) return PLANNED_SHARE;
+  return PLANNED_SHARE - URGENT_SHARE;
+}
+
 function hasRoom(
   load: boards.LoadSum,
   profile: core.EngineProfile,
--- a/packages/policy/src/engine_placement_test.ts
+++ b/packages/policy/src/engine_placement_test.ts
@@ -24,6 +24,7 @@
       isDraining: false,
       slots: 24,
       startedAt: undefined,
+      revision: 1,
       coldLeftMs: 0,
     },
     profile: PROFILE,
--- a/packages/policy/src/instance_directory.ts
+++ b/packages/policy/src/instance_directory.ts
@@ -7,7 +7,14 @@
 import type * as core from "@peridotvale/core";
 
 /** Why an instance gets no new work. */
-export type LeaveReason = "draining" | "removed" | "misdirected";
+export type LeaveReason = "draining" | "removed" | "misdirected" | "reported" | "seen_leaving";
+
+/** That an instance leaves, as one process tells another. */
+export interface LeaveNotice {
+  readonly instance: core.InstanceId;
+  /** Revision of the store at which it was seen to leave. */
+  readonly revision: number;
+}
 
 /** A change of what is believed. */
 export type InstanceChange =
@@ -23,12 +30,16 @@
   /** Set while it gets no new work. */
   leaving: LeaveReason | undefined;
   leavingSince: number;
+  /** Revision of the store up to which its state is known. */
+  revision: number;
   /** Set while its entry is missing after an outage of the store. */
   missingSince: number | undefined;
 }
 
 /** Entries that lapsed in an outage of the store are back within 2 s of its return. */
 const LAPSED_ENTRY_GRACE_MS = 2_000;
+/** How long others are told that an instance leaves. */
+const NOTICE_MS = 10_000;
 /** How long an instance that has left is remembered for requests still open on it. */
 const FORGET_AFTER_MS = 60_000;
 
@@ -44,7 +55,11 @@
   }
 
   /** Applies a whole listing. */
-  applyListing(records: readonly core.EndpointRecord[], now: number): InstanceChange[] {
+  applyListing(
+    records: readonly core.EndpointRecord[],
+    listing: { readonly revision: number; readonly now: number },
+  ): InstanceChange[] {
+    const { revision, now } = listing;
     const changes: InstanceChange[] = [];
     const listed = new Set<core.InstanceId>();
     for (const record of records) {
@@ -53,7 +68,8 @@
     }
     for (const [instance, known] of this.#instances) {
       if (listed.has(instance) || known.leaving === "removed") continue;
-      changes.push(...this.#loseEntry(known, now));
+      if (known.revision > revision) continue;
+      changes.push(...this.#loseEntry(known, { revision, now }));
     }
     return changes;
   }
@@ -64,18 +80,29 @@
     const isNewLife = known === undefined || known.record.startedAt !== record.startedAt ||
       known.record.endpoint !== record.endpoint;
     const leaving = record.isDraining ? "draining" as const : undefined;
+    if (known !== undefined && record.revision < known.revision) return [];
     if (isNewLife) {
-      const fresh = { record, leaving, leavingSince: now, missingSince: undefined };
+      const fresh = {
+        record,
+        leaving,
+        leavingSince: now,
+        revision: record.revision,
+        missingSince: undefined,
+      };
       this.#instances.set(record.instance, fresh);
       if (leaving !== undefined) return [{ type: "leaving", record, reason: leaving }];
       return [{ type: "added", record }];
     }
+    const isNews = record.revision > known.revision;
     known.record = record;
+    known.revision = record.revision;
     known.missingSince = undefined;
     if (leaving === known.leaving) return [];
     if (leaving === undefined) {
       // An instance that answered for another one stays out until it starts anew.
       if (known.leaving === "misdirected") return [];
+      // An entry that is as old as the notice does not contradict it.
+      if (known.leaving !== "removed" && !isNews) return [];
       known.leaving = undefined;
       return [{ type: "added", record }];
     }
@@ -83,10 +110,40 @@
   }
 
   /** Applies the removal of an entry. */
-  removeRecord(instance: core.InstanceId, now: number): InstanceChange[] {
+  removeRecord(instance: core.InstanceId, revision: number, now: number): InstanceChange[] {
     const known = this.#instances.get(instance);
     if (known === undefined || known.leaving === "removed") return [];
-    return this.#loseEntry(known, now);
+    if (revision < known.revision) return [];
+    return this.#loseEntry(known, { revision, now });
+  }
+
+  /** Applies another process's notice, if it is newer than what is known here. */
+  applyNotice(notice: LeaveNotice, now: number): InstanceChange[] {
+    const known = this.#instances.get(notice.instance);
+    if (known === undefined || known.leaving !== undefined) return [];
+    if (notice.revision <= known.revision) return [];
+    known.revision = notice.revision;
+    return this.#leave(known, "reported", now);
+  }
+
+  /** Records that an instance says itself that it leaves. */
+  recordSeenLeaving(instance: core.InstanceId, now: number): InstanceChange[] {
+    const known = this.#instances.get(instance);
+    if (known === undefined || known.leaving !== undefined) return [];
+    // Newer than its entry, older than any further write.
+    known.revision += 0.5;
+    return this.#leave(known, "seen_leaving", now);
+  }
+
+  /** Instances that were lately seen to leave. */
+  listNotices(now: number): LeaveNotice[] {
+    const notices: LeaveNotice[] = [];
+    for (const [instance, known] of this.#instances) {
+      if (known.leaving === undefined || known.leaving === "misdirected") continue;
+      if (now - known.leavingSince > NOTICE_MS) continue;
+      notices.push({ instance, revision: known.revision });
+    }
+    return notices;
   }
 
   /** Records that the address of `instance` answers for another instance. */
@@ -135,7 +192,12 @@
     return known !== undefined && known.leaving === undefined;
   }
 
-  #loseEntry(known: KnownInstance, now: number): InstanceChange[] {
+  #loseEntry(
+    known: KnownInstance,
+    loss: { readonly revision: number; readonly now: number },
+  ): InstanceChange[] {
+    const { revision, now } = loss;
+    known.revision = Math.max(known.revision, revision);
     if (now >= this.#graceUntil) return this.#leave(known, "removed", now);
     known.missingSince ??= now;
     return [];
--- a/packages/policy/src/instance_directory_test.ts
+++ b/packages/policy/src/instance_directory_test.ts
@@ -16,6 +16,7 @@
     isDraining: false,
     slots: 6,
     startedAt: 1,
+    revision: 1,
     coldLeftMs: 0,
     ...changes,
   };
@@ -27,11 +28,14 @@
 
 tap.t.test("a draining, removed or misdirected instance gets no new work", (t) => {
   const directory = new directories.InstanceDirectory();
-  directory.applyListing([createRecord("a"), createRecord("b"), createRecord("c")], 0);
+  directory.applyListing([createRecord("a"), createRecord("b"), createRecord("c")], {
+    revision: 1,
+    now: 0,
+  });
   t.same(listIds(directory), ["a", "b", "c"]);
-  const [change] = directory.applyRecord(createRecord("a", { isDraining: true }), 1);
+  const [change] = directory.applyRecord(createRecord("a", { isDraining: true, revision: 2 }), 1);
   t.equal(change?.type, "leaving");
-  directory.removeRecord(createRecord("b").instance, 1);
+  directory.removeRecord(createRecord("b").instance, 2, 1);
   directory.recordMisdirected(createRecord("c").instance, 1);
   t.same(listIds(directory), []);
   t.same(directory.applyRecord(createRecord("c", { coldLeftMs: 5 }), 2), []);
@@ -41,7 +45,7 @@
 
 tap.t.test("a new life under the same id counts anew", (t) => {
   const directory = new directories.InstanceDirectory();
-  directory.applyListing([createRecord("a")], 0);
+  directory.applyListing([createRecord("a")], { revision: 1, now: 0 });
   directory.recordMisdirected(createRecord("a").instance, 1);
   const [change] = directory.applyRecord(createRecord("a", { startedAt: 2 }), 2);
   t.equal(change?.type, "added");
@@ -51,8 +55,8 @@
 
 tap.t.test("an entry that is missing is gone, at once while the store serves", (t) => {
   const directory = new directories.InstanceDirectory();
-  directory.applyListing([createRecord("a"), createRecord("b")], 0);
-  const changes = directory.applyListing([createRecord("b")], 1);
+  directory.applyListing([createRecord("a"), createRecord("b")], { revision: 1, now: 0 });
+  const changes = directory.applyListing([createRecord("b")], { revision: 1, now: 1 });
   t.same(changes.map((change) => change.type), ["leaving"]);
   t.same(listIds(directory), ["b"]);
   t.end();
@@ -60,14 +64,41 @@
 
 tap.t.test("entries that lapsed while the store was away have 2 s to return", (t) => {
   const directory = new directories.InstanceDirectory();
-  directory.applyListing([createRecord("a"), createRecord("b")], 0);
+  directory.applyListing([createRecord("a"), createRecord("b")], { revision: 1, now: 0 });
   directory.recordStoreReturn(10_000);
-  directory.applyListing([], 10_010);
+  directory.applyListing([], { revision: 1, now: 10_010 });
   t.same(listIds(directory), ["a", "b"]);
-  directory.applyRecord(createRecord("a"), 11_000);
+  directory.applyRecord(createRecord("a", { revision: 2 }), 11_000);
   t.same(directory.expireInstances(11_900), []);
   const changes = directory.expireInstances(12_000);
   t.same(changes.map((change) => change.record.instance), ["b"]);
   t.same(listIds(directory), ["a"]);
   t.end();
 });
+
+tap.t.test("a notice of another process holds until a newer entry contradicts it", (t) => {
+  const directory = new directories.InstanceDirectory();
+  directory.applyListing([createRecord("a"), createRecord("b")], { revision: 5, now: 0 });
+  const { instance } = createRecord("a");
+  t.same(directory.applyNotice({ instance, revision: 1 }, 1), [], "not newer than the entry");
+  t.equal(directory.applyNotice({ instance, revision: 7 }, 1)[0]?.type, "leaving");
+  t.same(directory.listNotices(2), [{ instance, revision: 7 }], "it is passed on");
+  directory.applyRecord(createRecord("a", { revision: 6 }), 3);
+  t.same(listIds(directory), ["b"], "a late answer of the store does not bring it back");
+  directory.applyRecord(createRecord("a", { revision: 8 }), 4);
+  t.same(listIds(directory), ["a", "b"]);
+  t.end();
+});
+
+tap.t.test("an instance that says itself that it leaves stays out until it writes again", (t) => {
+  const directory = new directories.InstanceDirectory();
+  directory.applyListing([createRecord("a")], { revision: 1, now: 0 });
+  directory.recordSeenLeaving(createRecord("a").instance, 1);
+  directory.applyListing([createRecord("a")], { revision: 3, now: 2 });
+  t.same(listIds(directory), []);
+  directory.applyRecord(createRecord("a", { revision: 4, isDraining: true }), 3);
+  t.same(listIds(directory), []);
+  directory.applyRecord(createRecord("a", { revision: 5 }), 4);
+  t.same(listIds(directory), ["a"]);
+  t.end();
+});
--- a/packages/policy/src/load_board.ts
+++ b/packages/policy/src/load_board.ts
@@ -79,6 +79,15 @@
     return { runs, reservedTokens, unreadPromptTokens, movingTokens };
   }
 
+  /** Processes that run anything at `instance`. */
+  listBusyProcesses(instance: core.InstanceId): core.ProcessId[] {
+    const busy: core.ProcessId[] = [];
+    for (const [process, report] of this.#reports) {
+      if ((report.loads.get(instance)?.runs ?? 0) > 0) busy.push(process);
+    }
+    return busy;
+  }
+
   /** Tokens that each process still wants to move away from `instance`. */
   listMoving(instance: core.InstanceId): { process: core.ProcessId; tokens: number }[] {
     const moving: { process: core.ProcessId; tokens: number }[] = [];
