Bound and count log lines, serve metrics, read changed settings again

Cause: log lines went to standard output without bound, metrics of the gateway were not served, and a changed settings file was not noticed. Change: LogSink drops and counts lines beyond a thousand a second or 256 KB; the metrics module moves from entry to core and serves both; settings are read again at SIGHUP and every 5 s.

--- /dev/null
+++ b/packages/core/src/log_sink_test.ts
@@ -0,0 +1,68 @@
+import * as childProcess from "node:child_process";
+import * as path from "node:path";
+import * as stream from "node:stream";
+import * as tap from "tap";
+import * as sinks from "./log_sink.ts";
+
+function createTarget(options: { readonly isRead: boolean }) {
+  const written: string[] = [];
+  const target = new stream.Writable({
+    write(chunk, _encoding, callback) {
+      written.push(String(chunk));
+      if (options.isRead) callback();
+    },
+  });
+  return { target, written };
+}
+
+tap.t.test("lines beyond a thousand a second are dropped and counted", async (t) => {
+  const { target, written } = createTarget({ isRead: true });
+  let now = 0;
+  const sink = new sinks.LogSink(target, () => now);
+  for (let i = 0; i < 1_500; i++) sink.write(`line ${i}\n`);
+  t.equal(sink.droppedLines, 500);
+  now = 1_000;
+  sink.write("later\n");
+  await new Promise((resolve) => setImmediate(resolve));
+  const lines = written.join("").split("\n");
+  t.equal(lines.filter((line) => line.startsWith("line")).length, 1_000);
+  t.same(lines.slice(-3), ["event=log_lines_dropped count=500", "later", ""]);
+});
+
+tap.t.test("a reader that has stopped costs bounded memory", async (t) => {
+  const { target } = createTarget({ isRead: false });
+  let now = 0;
+  const sink = new sinks.LogSink(target, () => now);
+  for (let i = 0; i < 5_000; i++) {
+    now += 10;
+    sink.write(`${"x".repeat(200)}\n`);
+    if (i % 100 === 0) await new Promise((resolve) => setImmediate(resolve));
+  }
+  sink.flush();
+  t.ok(target.writableLength <= 256 * 1024);
+  t.ok(sink.droppedLines > 3_000);
+});
+
+tap.t.test("a process whose output nobody reads does not wait for it", async (t) => {
+  const sinkFile = path.join(import.meta.dirname, "log_sink.js");
+  const script = `
+    import { LogSink } from ${JSON.stringify(sinkFile)};
+    let now = 0;
+    const sink = new LogSink(process.stdout, () => now += 10);
+    for (let i = 0; i < 20_000; i++) {
+      sink.write("x".repeat(200) + "\\n");
+      if (i % 100 === 0) await new Promise((resolve) => setImmediate(resolve));
+    }
+    process.stderr.write("done");
+    process.exit(0);
+  `;
+  const child = childProcess.spawn(process.execPath, ["--input-type=module", "-e", script], {
+    stdio: ["ignore", "pipe", "pipe"],
+  });
+  t.teardown(() => child.kill("SIGKILL"));
+  const text = await new Promise<string>((resolve) => {
+    child.stderr.once("data", (data) => resolve(String(data)));
+    child.once("exit", () => resolve("ended without a word"));
+  });
+  t.equal(text, "done");
+});
--- a/packages/entry/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -1,12 +1,13 @@
-/** Metrics of an entry process, by rank and by workspace. */
+/** Metrics of a process, by rank and by workspace. */
 
-import type * as core from "@peridotvale/core";
+import type * as ids from "./ids.ts";
+import type * as outcomes from "./outcome.ts";
 import * as prometheus from "prom-client";
 
 /** Labels that every request has. */
 export interface RequestLabels {
-  readonly workspace: core.WorkspaceName;
-  readonly rank: core.RankName;
+  readonly workspace: ids.WorkspaceName;
+  readonly rank: ids.RankName;
 }
 
 /** Workspaces with a label of their own; further ones share one. */
@@ -43,6 +44,10 @@
     "between_tokens",
     "Between two tokens.",
   );
+  readonly #duration = this.#createHistogram(
+    "request_duration",
+    "From arrival to the end of the answer.",
+  );
   readonly #stall = this.#createHistogram(
     "stall",
     "Time beyond the rank's target per request.",
@@ -86,6 +91,11 @@
     this.#firstToken.observe(this.#createLabels(labels), durationMs / 1000);
   }
 
+  /** Records the time from arrival to the end of the answer. */
+  recordDuration(labels: RequestLabels, durationMs: number): void {
+    this.#duration.observe(this.#createLabels(labels), durationMs / 1000);
+  }
+
   /** Records the time between two tokens. */
   recordBetweenTokens(labels: RequestLabels, durationMs: number): void {
     this.#betweenTokens.observe(this.#createLabels(labels), durationMs / 1000);
@@ -104,7 +114,7 @@
   /** Records the end of a request. */
   recordOutcome(
     labels: RequestLabels,
-    outcome: core.Outcome,
+    outcome: outcomes.Outcome,
     code: string,
   ): void {
     this.#outcomes.inc({ ...this.#createLabels(labels), outcome, code });
@@ -116,7 +126,7 @@
   }
 
   /** Records preemptions that an engine has reported. */
-  recordPreemptions(endpoint: core.EndpointId, count: number): void {
+  recordPreemptions(endpoint: ids.EndpointId, count: number): void {
     if (count > 0) this.#preemptions.inc({ endpoint }, count);
   }
 
--- a/packages/entry/src/call_runner.ts
+++ b/packages/entry/src/call_runner.ts
@@ -8,7 +8,6 @@
 import type * as broker from "./call_broker.ts";
 import type * as decisions from "./decision_log.ts";
 import type * as directories from "./endpoint_directory.ts";
-import type * as metrics from "./metrics.ts";
 import * as problems from "./request_problems.ts";
 
 /** What a call needs of its process. */
@@ -17,7 +16,7 @@
   readonly client: services.ServiceClient;
   readonly broker: broker.CallBroker;
   readonly directory: directories.EndpointDirectory;
-  readonly metrics: metrics.Metrics;
+  readonly metrics: core.Metrics;
   readonly decisions: decisions.DecisionLog;
   readonly retryBudget: policy.RetryBudget;
   readonly createNonce: () => string;
--- a/packages/entry/src/engine_monitor.ts
+++ b/packages/entry/src/engine_monitor.ts
@@ -5,7 +5,6 @@
 import type * as policy from "@peridotvale/policy";
 import type * as capacity from "./capacity_host.ts";
 import type * as directories from "./endpoint_directory.ts";
-import type * as metrics from "./metrics.ts";
 
 /** A scheduler that may use a share of an engine. */
 export interface EngineAssignment {
@@ -18,7 +17,7 @@
 export interface EngineMonitorOptions {
   readonly client: engines.EngineClient;
   readonly directory: directories.EndpointDirectory;
-  readonly metrics: metrics.Metrics;
+  readonly metrics: core.Metrics;
   /** The schedulers of this process that may use the engine; none: it is not read. */
   readonly getAssignments: (engine: policy.ListedEndpoint) => readonly EngineAssignment[];
 }
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -19,7 +19,6 @@
 import * as fleets from "./fleet.ts";
 import * as fronts from "./front.ts";
 import * as manifests from "./manifest_agent.ts";
-import * as metricsModule from "./metrics.ts";
 import * as operatorViews from "./operator_views.ts";
 import * as orders from "./order_agent.ts";
 import * as sweepers from "./orphan_sweeper.ts";
@@ -52,7 +51,7 @@
   readonly vmList: platform.VmList;
   readonly engineClient: engines.EngineClient;
   readonly directory: directories.EndpointDirectory;
-  readonly metrics: metricsModule.Metrics;
+  readonly metrics: core.Metrics;
   readonly decisions: decisionLogs.DecisionLog;
   readonly manifests: manifests.ManifestAgent;
   readonly broker: brokers.CallBroker;
@@ -136,7 +135,7 @@
       answerTimeoutMs: timeouts.engineAnswerMs,
       silenceMs: timeouts.engineSilenceMs,
     }),
-    metrics: new metricsModule.Metrics(),
+    metrics: new core.Metrics(),
     decisions: new decisionLogs.DecisionLog(options),
     manifests: new manifests.ManifestAgent(runtime, { store }),
     broker: new brokers.CallBroker(runtime, { directory, zone }),
--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -8,7 +8,6 @@
 import type * as capacity from "./capacity_client.ts";
 import type * as decisions from "./decision_log.ts";
 import type * as directories from "./endpoint_directory.ts";
-import type * as metrics from "./metrics.ts";
 import * as problems from "./request_problems.ts";
 import * as relays from "./token_relay.ts";
 
@@ -18,7 +17,7 @@
   readonly client: engines.EngineClient;
   readonly getCapacity: () => capacity.CapacityClient;
   readonly directory: directories.EndpointDirectory;
-  readonly metrics: metrics.Metrics;
+  readonly metrics: core.Metrics;
   readonly decisions: decisions.DecisionLog;
   readonly retryBudget: policy.RetryBudget;
   readonly cursors: callers.CursorCodec;
@@ -485,7 +484,7 @@
     });
   }
 
-  #getLabels(): metrics.RequestLabels {
+  #getLabels(): core.RequestLabels {
     return { workspace: this.#ask.workspace, rank: this.#resolved.rank };
   }
 
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -91,6 +91,7 @@
         next: next.type === "stop" ? next.reason : mayRepeat ? "again" : "budget_exhausted",
       });
       if (!mayRepeat) break;
+      this.#context.metrics.recordRetry("call");
     }
     this.#answerFailure(request, routed, history);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,6 +43,7 @@
 /** Left of the grace period when the last requests are given up. */
 const EXIT_MARGIN_MS = 500;
 const DRAIN_POLL_MS = 50;
+const METRICS_PATH = "/metrics";
 
 /** One gateway process. */
 export class Gateway {
@@ -139,19 +140,27 @@
     await listenAt(this.#health, settings.health);
     await listenAt(this.#front, settings.front);
     this.#timer = setInterval(() => this.#expire(), EXPIRE_INTERVAL_MS);
+    this.#registerMetrics();
     logger.write("started", { front: `${settings.front.host}:${settings.front.port}` });
   }
 
+  /** Applies settings that were read again; addresses need a restart. */
+  updateSettings(settings: settingsModule.GatewaySettings): void {
+    this.#context.settings = settings;
+    this.#budgets.clear();
+    this.#options.logger.write("settings_applied", {});
+  }
+
   /** Finishes what is open and stops; new connections are accepted until the balancer knows. */
   async drain(): Promise<void> {
     if (this.#isDraining) return;
-    const { clock, logger, settings } = this.#options;
+    const { clock, logger } = this.#options;
     const begunAt = clock.now();
     this.#isDraining = true;
     logger.write("draining", { open: this.#handler.openCount });
     await core.waitFor(BALANCER_LAG_MS);
     this.#front.close();
-    const giveUpAt = begunAt + settings.bounds.gracePeriodMs - EXIT_MARGIN_MS;
+    const giveUpAt = begunAt + this.#context.settings.bounds.gracePeriodMs - EXIT_MARGIN_MS;
     while (this.#handler.openCount > 0 && clock.now() < giveUpAt) {
       this.#front.closeIdleConnections();
       await core.waitFor(DRAIN_POLL_MS);
@@ -172,10 +181,12 @@
     const directory = new policy.InstanceDirectory();
     const config = new policy.ConfigRegister();
     const board = new policy.LoadBoard();
+    const metrics = new core.Metrics();
     return {
       settings,
       clock,
       logger,
+      metrics,
       random,
       codec: this.#options.codec,
       pool: new pools.ConnectionPool(),
@@ -247,14 +258,32 @@
   #getBudget(service: core.ServiceName): policy.WindowBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      budget = new policy.WindowBudget(this.#options.settings.bounds.repeats);
+      budget = new policy.WindowBudget(this.#context.settings.bounds.repeats);
       this.#budgets.set(service, budget);
     }
     return budget;
   }
 
+  #registerMetrics(): void {
+    const { metrics, config, directory, pool, board } = this.#context;
+    const register = (name: string, help: string, read: () => number) =>
+      metrics.registerValue(name, help, { read });
+    register("open_generations", "Generations in progress.", () => this.#streams.relays.size);
+    register("waiting_generations", "Generations that wait.", () => this.#streams.waitingCount);
+    register("config_release", "Release in force.", () => config.inForce?.config.release ?? 0);
+    register(
+      "config_age_seconds",
+      "Age of the last confirmation.",
+      () => config.getAge(this.#options.clock.now()) / 1000,
+    );
+    register("usable_endpoints", "Endpoints that get new work.", () => directory.usableCount);
+    register("opened_connections", "Connections to endpoints.", () => pool.openedCount);
+    register("linked_processes", "Processes that report.", () => board.processCount);
+  }
+
   #answerHealth(request: http.IncomingMessage, response: http.ServerResponse): void {
-    if (request.url !== this.#options.settings.readinessPath) {
+    if (request.url === METRICS_PATH) return void writeMetrics(this.#context.metrics, response);
+    if (request.url !== this.#context.settings.readinessPath) {
       response.writeHead(404);
       return void response.end();
     }
@@ -263,6 +292,15 @@
   }
 }
 
+async function writeMetrics(
+  metrics: core.Metrics,
+  response: http.ServerResponse,
+): Promise<void> {
+  const text = await metrics.readText();
+  response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+  response.end(text);
+}
+
 /** An engine whose service declares no profile is limited by its slots only. */
 function createPlainEngine(record: core.EndpointRecord): policy.EngineCandidate {
   return {
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -9,9 +9,11 @@
 
 /** Shared state and services of one gateway process. */
 export interface GatewayContext {
-  readonly settings: settingsModule.GatewaySettings;
+  /** Replaced when the settings are read again. */
+  settings: settingsModule.GatewaySettings;
   readonly clock: core.Clock;
   readonly logger: core.Logger;
+  readonly metrics: core.Metrics;
   readonly random: core.RandomSource;
   readonly codec: codec.HeaderCodec;
   readonly pool: pools.ConnectionPool;
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -8,7 +8,7 @@
 import type * as codec from "./codec.ts";
 import type * as splitters from "./event_splitter.ts";
 import type * as contexts from "./gateway_context.ts";
-import type * as requests from "./open_request.ts";
+import * as requests from "./open_request.ts";
 import * as problems from "./problems.ts";
 import * as legs from "./stream_leg.ts";
 
@@ -209,6 +209,7 @@
   }
 
   #logHandOver(outcome: string, target: core.EndpointRecord, error: string | undefined): void {
+    this.#context.metrics.recordRetry(`hand_over_${outcome}`);
     this.#context.logger.write("hand_over", {
       request: this.request.id,
       outcome,
@@ -294,6 +295,10 @@
   #recordProgress(count: number, now: number): void {
     const profile = this.#context.getEngineProfile(this.routed.service);
     const tokensPerEvent = profile?.tokensPerEvent ?? 1;
+    if (this.#lastEventAt === undefined) {
+      const labels = requests.createLabels(this.routed);
+      this.#context.metrics.recordFirstToken(labels, now - this.request.arrivedAt);
+    }
     const elapsedMs = this.#lastEventAt === undefined ? undefined : now - this.#lastEventAt;
     this.#lastEventAt = now;
     this.#context.engines.recordProgress(this.endpoint.instance, this.request.id, {
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -162,3 +162,11 @@
     return true;
   }
 }
+
+/** Labels of a request; those of one whose route was not found are empty. */
+export function createLabels(routed: RoutedRequest | undefined): core.RequestLabels {
+  return {
+    workspace: routed?.workspace ?? core.createId<core.WorkspaceName>(""),
+    rank: core.createId<core.RankName>(routed === undefined ? "" : String(routed.rank)),
+  };
+}
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -73,7 +73,7 @@
     } finally {
       this.#open.delete(request);
       this.#heldBytes -= request.body?.length ?? 0;
-      this.#logEnd(request);
+      this.#recordEnd(request);
     }
   }
 
@@ -220,9 +220,17 @@
     }));
   }
 
-  #logEnd(request: requests.OpenRequest): void {
+  #recordEnd(request: requests.OpenRequest): void {
     const { context } = this.#options;
     const now = context.clock.now();
+    context.metrics.updateOpenRequests(this.#open.size);
+    const labels = requests.createLabels(request.routed);
+    context.metrics.recordDuration(labels, now - request.arrivedAt);
+    context.metrics.recordOutcome(
+      labels,
+      request.end?.outcome ?? "not_run",
+      request.end?.reason.split(":")[0] ?? "unread",
+    );
     context.logger.write("request_ended", {
       request: request.id,
       route: request.routed?.route.name,
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -85,6 +85,7 @@
         next: mayRepeat ? "again" : "stop",
       });
       if (!mayRepeat) return this.#refuse(request, end.reason);
+      context.metrics.recordRetry("generation");
     }
   }
 
--- a/packages/policy/src/instance_directory.ts
+++ b/packages/policy/src/instance_directory.ts
@@ -178,12 +178,13 @@
     return usable;
   }
 
-  /** Whether any instance may get new work. */
-  hasUsable(): boolean {
+  /** Instances that may get new work. */
+  get usableCount(): number {
+    let count = 0;
     for (const known of this.#instances.values()) {
-      if (known.leaving === undefined) return true;
+      if (known.leaving === undefined) count += 1;
     }
-    return false;
+    return count;
   }
 
   /** Whether `instance` may get new work. */
