--- a/packages/core/src/verbs_test.ts
+++ b/packages/core/src/verbs_test.ts
@@ -25,7 +25,8 @@
   const verbs = new Set(rows.flatMap((row) => [...row.matchAll(/`([a-z]+)`/g)].map((m) => m[1]!)));
   for (const question of QUESTIONS) verbs.add(question);
   const wrong: string[] = [];
-  for (const file of listSources(path.join(ROOT, "packages"))) {
+  const files = ["packages", "platform"].flatMap((folder) => listSources(path.join(ROOT, folder)));
+  for (const file of files) {
     for (const line of fs.readFileSync(file, "utf8").split("\n")) {
       const match = DECLARATION.exec(line);
       const name = match?.[1] ?? match?.[2];
@@ -48,3 +49,18 @@
   }
   return found;
 }
+
+const WIRE_NAMES =
+  /X-(Server-Stamp|Expect-Instance|Kv-Backup|Request-Urgency|Token-Count|Prompt-Prefix|Tenant)|kv-(key|range|watch|txn|lease|keep|move)|op\/config|Api-Key/i;
+
+tap.t.test("the platform's wire names stand in its adapter only", (t) => {
+  const wrong: string[] = [];
+  for (const file of listSources(path.join(ROOT, "packages"))) {
+    if (file.includes("/standins/")) continue;
+    const text = fs.readFileSync(file, "utf8");
+    const match = WIRE_NAMES.exec(text);
+    if (match !== null) wrong.push(`${path.relative(ROOT, file)}: ${match[0]}`);
+  }
+  t.same(wrong, []);
+  t.end();
+});
--- a/packages/gateway/src/announcer.ts
+++ b/packages/gateway/src/announcer.ts
@@ -30,7 +30,7 @@
   async run(): Promise<void> {
     let lease: string | undefined;
     while (!this.#isStopped) {
-      lease = lease === undefined ? await this.#announce() : await this.#renew(lease);
+      lease = lease === undefined ? await this.#publishSelf() : await this.#renew(lease);
       const intervalMs = lease === undefined ? RETRY_MS : RENEW_INTERVAL_MS;
       await core.waitFor(intervalMs * (0.8 + 0.4 * this.#options.random.next()));
     }
@@ -40,8 +40,8 @@
     this.#isStopped = true;
   }
 
-  async #announce(): Promise<string | undefined> {
-    const announced = await this.#options.store.announce(this.#options.self, TTL_MS);
+  async #publishSelf(): Promise<string | undefined> {
+    const announced = await this.#options.store.publishPeer(this.#options.self, TTL_MS);
     if (announced.isOk()) return announced.value;
     this.#options.logger.write("announce_failed", {
       reason: announced.error.type,
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -209,7 +209,9 @@
     history: SendHistory,
   ): void {
     if (history.lastAnswer !== undefined) return this.#passOn(request, routed, history.lastAnswer);
-    const isLate = request.getRemainingMs(this.#context.clock.now()) <= 0;
+    // A timer may fire a little before the clock shows its time.
+    const isLate = history.lastReason === "timeout" ||
+      request.getRemainingMs(this.#context.clock.now()) <= 0;
     const status = policy.chooseFailureStatus(history.outcome, { isLate });
     request.answerProblem(problems.createFailure(status, history.lastReason, {
       outcome: history.outcome,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -246,7 +246,7 @@
       if (change.type === "added") continue;
       this.#context.pool.closeIdle(record.endpoint);
       this.#context.placement.dropInstance(record.instance);
-      void this.#handOvers.evacuate(record);
+      void this.#handOvers.moveRuns(record);
     }
   }
 
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -94,7 +94,7 @@
     if (this.request.writeEvents(bytes)) return;
     const leg = this.#leg;
     leg.pause();
-    this.request.onceDrained(() => leg.resume());
+    this.request.onDrained(() => leg.resume());
   }
 
   onLegEnd(end: legs.LegEnd): void {
@@ -116,7 +116,7 @@
       reason: end.reason,
       events: this.#deliveredEvents,
     });
-    this.request.breakStream({ status: 200, reason: end.reason, outcome: "unknown" });
+    this.request.abortStream({ status: 200, reason: end.reason, outcome: "unknown" });
     this.#resolve(undefined);
   }
 
@@ -124,14 +124,14 @@
    * Moves the run to `target`: copies its memory while it runs, then stops it,
    * copies the rest and goes on there. Returns whether it did.
    */
-  async handOver(target: core.EndpointRecord): Promise<boolean> {
+  async moveTo(target: core.EndpointRecord): Promise<boolean> {
     this.#isHandingOver = true;
     const source = this.#leg;
     this.#context.engines.recordStart(target.instance, this.request.id, this.size);
     try {
       const ahead = await this.#copy(source, target, false);
-      if (ahead.isErr()) return this.#endHandOver("copy_ahead_failed", target, ahead.error.type);
-      if (source.hasEnded) return this.#endHandOver("ended_before", target, undefined);
+      if (ahead.isErr()) return this.#endMove("copy_ahead_failed", target, ahead.error.type);
+      if (source.hasEnded) return this.#endMove("ended_before", target, undefined);
       return await this.#stopAndMove(source, target);
     } finally {
       this.#isHandingOver = false;
@@ -154,7 +154,7 @@
     if (this.request.end !== undefined) {
       this.#resolve(undefined);
       await this.#context.engineControl.releaseMemory(source.endpoint.endpoint, handle);
-      return this.#endHandOver("caller_gone", target, undefined);
+      return this.#endMove("caller_gone", target, undefined);
     }
     const next = last.isOk() ? target : source.endpoint;
     if (next !== target) this.#context.engines.recordEnd(target.instance, this.request.id);
@@ -164,7 +164,7 @@
       handle,
       lastEventId: this.#lastEventId,
     });
-    this.#logHandOver(last.isOk() ? "moved" : "continued_at_source", target, undefined);
+    this.#recordMove(last.isOk() ? "moved" : "continued_at_source", target, undefined);
     return last.isOk();
   }
 
@@ -178,7 +178,7 @@
     if (source.hasEnded) {
       this.onLegEnd({ type: "broken", outcome: "unknown", reason: "stopped for a move" });
     }
-    return this.#endHandOver("copy_failed", target, error);
+    return this.#endMove("copy_failed", target, error);
   }
 
   async #waitForLastEvents(source: legs.StreamLeg, ended: Promise<void>): Promise<void> {
@@ -196,7 +196,7 @@
     });
   }
 
-  #endHandOver(
+  #endMove(
     outcome: string,
     target: core.EndpointRecord,
     error: string | undefined,
@@ -204,11 +204,11 @@
     if (this.endpoint.instance !== target.instance) {
       this.#context.engines.recordEnd(target.instance, this.request.id);
     }
-    this.#logHandOver(outcome, target, error);
+    this.#recordMove(outcome, target, error);
     return false;
   }
 
-  #logHandOver(outcome: string, target: core.EndpointRecord, error: string | undefined): void {
+  #recordMove(outcome: string, target: core.EndpointRecord, error: string | undefined): void {
     this.#context.metrics.recordRetry(`hand_over_${outcome}`);
     this.#context.logger.write("hand_over", {
       request: this.request.id,
@@ -254,7 +254,7 @@
     const isHandingOver = this.#onStoppedLegEnd !== undefined;
     if (reason === "timeout") {
       if (this.request.isHeadSent) {
-        this.request.breakStream({ status: 200, reason: "timeout", outcome: "unknown" });
+        this.request.abortStream({ status: 200, reason: "timeout", outcome: "unknown" });
       } else {
         this.request.answerProblem(problems.createFailure(504, "timeout", {
           outcome: "unknown",
@@ -270,7 +270,7 @@
       return this.#resolve({ outcome: "unknown", reason: `status_${end.status}` });
     }
     if (this.request.isHeadSent) {
-      this.request.breakStream({ status: 200, reason: "engine_failed", outcome: "failed" });
+      this.request.abortStream({ status: 200, reason: "engine_failed", outcome: "failed" });
     } else {
       this.request.answerWhole(end, {
         status: end.status,
--- a/packages/gateway/src/hand_over_agent.ts
+++ b/packages/gateway/src/hand_over_agent.ts
@@ -53,7 +53,7 @@
   }
 
   /** Moves the generations of an engine that leaves. */
-  async evacuate(source: core.EndpointRecord): Promise<void> {
+  async moveRuns(source: core.EndpointRecord): Promise<void> {
     const { context } = this.#options;
     const profile = context.getEngineProfile(source.service);
     if (profile === undefined || !profile.canMove) return;
@@ -114,7 +114,7 @@
       });
       return;
     }
-    if (await relay.handOver(target)) return this.#options.reportNow();
+    if (await relay.moveTo(target)) return this.#options.reportNow();
     evacuation.failedMoves.set(run.request, failures + 1);
     full.add(target.instance);
     evacuation.fullTargets.set(run.request, full);
--- a/packages/gateway/src/leave_watcher.ts
+++ b/packages/gateway/src/leave_watcher.ts
@@ -31,14 +31,14 @@
   }
 
   start(): void {
-    this.#timer = setInterval(() => this.#askEngines(), ASK_INTERVAL_MS);
+    this.#timer = setInterval(() => this.#checkEngines(), ASK_INTERVAL_MS);
   }
 
   stop(): void {
     clearInterval(this.#timer);
   }
 
-  #askEngines(): void {
+  #checkEngines(): void {
     const { context, listRelays, getStoreOutageMs } = this.#options;
     if (getStoreOutageMs(context.clock.now()) < MIN_OUTAGE_MS) return;
     const asked = new Set<core.InstanceId>();
@@ -47,11 +47,11 @@
       asked.add(endpoint.instance);
       const others = context.board.listBusyProcesses(endpoint.instance);
       const isTurn = policy.isOwnTurn(context.settings.process, endpoint.instance, others);
-      if (isTurn && context.directory.isUsable(endpoint.instance)) void this.#ask(endpoint);
+      if (isTurn && context.directory.isUsable(endpoint.instance)) void this.#checkEngine(endpoint);
     }
   }
 
-  async #ask(endpoint: core.EndpointRecord): Promise<void> {
+  async #checkEngine(endpoint: core.EndpointRecord): Promise<void> {
     const { context } = this.#options;
     const state = await context.engineControl.readState(endpoint.endpoint);
     if (state === undefined || !state.isLeaving) return;
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -116,7 +116,7 @@
   }
 
   /** Calls `listener` once the caller has read what is buffered. */
-  onceDrained(listener: () => void): void {
+  onDrained(listener: () => void): void {
     this.#response.once("drain", listener);
   }
 
@@ -126,7 +126,7 @@
   }
 
   /** Ends a stream that is not whole, so that the caller sees it broken off. */
-  breakStream(end: RequestEnd): void {
+  abortStream(end: RequestEnd): void {
     if (this.#finish(end)) this.#response.destroy();
   }
 
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -145,14 +145,14 @@
   async #findRoute(request: requests.OpenRequest): Promise<requests.RoutedRequest | undefined> {
     const { context, agent } = this.#options;
     const { bounds } = context.settings;
-    let found = this.#lookUp(request);
+    let found = this.#findRouted(request);
     const maxAgeMs = bounds.keyRevocationMs - REVOCATION_MARGIN_MS;
     const isStale = () => context.config.getAge(context.clock.now()) > maxAgeMs;
     const needsFresh = bounds.isRevocationStrict && found.type === "routed" &&
       found.routed.workspace !== undefined;
     if (found.type !== "routed" || (needsFresh && isStale())) {
       const isConfirmed = await this.#confirm();
-      found = this.#lookUp(request);
+      found = this.#findRouted(request);
       if (!isConfirmed && (found.type !== "routed" || (needsFresh && isStale()))) {
         this.#refuse(request, 503, "config_unconfirmed");
         return undefined;
@@ -178,7 +178,7 @@
     return isConfirmed;
   }
 
-  #lookUp(request: requests.OpenRequest): LookUp {
+  #findRouted(request: requests.OpenRequest): Found {
     const inForce = this.#options.context.config.inForce;
     if (inForce === undefined) return { type: "refused", status: 503, reason: "no_config" };
     const route = inForce.table.findRoute(readHost(request.headers), request.path);
@@ -212,7 +212,7 @@
 
   #answerInternalError(request: requests.OpenRequest): void {
     if (request.isHeadSent) {
-      return request.breakStream({ status: 200, reason: "internal_error", outcome: "unknown" });
+      return request.abortStream({ status: 200, reason: "internal_error", outcome: "unknown" });
     }
     request.answerProblem(problems.createFailure(502, "internal_error", {
       outcome: "unknown",
@@ -245,7 +245,7 @@
   }
 }
 
-type LookUp =
+type Found =
   | { readonly type: "routed"; readonly routed: requests.RoutedRequest }
   | { readonly type: "refused"; readonly status: number; readonly reason: string };
 
--- a/packages/gateway/src/routing_store.ts
+++ b/packages/gateway/src/routing_store.ts
@@ -69,7 +69,7 @@
     options: { readonly waitMs: number; readonly signal: AbortSignal },
   ): StoreResult<StoreChanges>;
   /** Announces a process for `ttlMs`; returns the lease that renews it. */
-  announce(self: AnnouncedPeer, ttlMs: number): StoreResult<string>;
+  publishPeer(self: AnnouncedPeer, ttlMs: number): StoreResult<string>;
   /** Renews an announcement; false if it has lapsed. */
   renewAnnouncement(lease: string): StoreResult<boolean>;
 }
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -37,12 +37,13 @@
 export class StreamForwarder {
   readonly #options: StreamForwarderOptions;
   readonly #relays = new Set<relays.GenerationRelay>();
-  readonly #queue = new policy.GenerationQueue();
+  readonly #queue: policy.GenerationQueue;
   readonly #waiters = new Map<core.RequestId, Waiter>();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: StreamForwarderOptions) {
     this.#options = options;
+    this.#queue = new policy.GenerationQueue(() => options.context.engines.getFastestTokenMs());
   }
 
   /** Generations that are open now. */
--- a/packages/policy/src/engine_placement.ts
+++ b/packages/policy/src/engine_placement.ts
@@ -30,6 +30,7 @@
 interface Engine {
   readonly runs: Map<core.RequestId, Run>;
   avoidUntil: number;
+  hasGenerated: boolean;
   /** Smoothed time of one token of a run. */
   tokenMs: number;
 }
@@ -127,7 +128,7 @@
     for (const [instance, engine] of this.#engines) {
       const movingTokens = getMovingTokens(instance);
       if (engine.runs.size === 0 && movingTokens === 0) continue;
-      loads.push({ instance, ...sumRuns(engine.runs.values()), movingTokens });
+      loads.push({ instance, ...computeRunSums(engine.runs.values()), movingTokens });
     }
     return loads;
   }
@@ -149,6 +150,7 @@
     run.generatedTokens = progress.generatedTokens;
     run.hasStarted = true;
     if (progress.tokenMs === undefined) return;
+    engine.hasGenerated = true;
     engine.tokenMs += SMOOTHING * (progress.tokenMs - engine.tokenMs);
   }
 
@@ -156,6 +158,15 @@
     this.#getEngine(instance).runs.delete(request);
   }
 
+  /** Time of one token at the quickest engine that has been seen to generate; 0 if none has. */
+  getFastestTokenMs(): number {
+    let fastest = Infinity;
+    for (const engine of this.#engines.values()) {
+      if (engine.hasGenerated) fastest = Math.min(fastest, engine.tokenMs);
+    }
+    return Number.isFinite(fastest) ? fastest : 0;
+  }
+
   /** Records that an engine refused a generation or could not be reached. */
   recordRefusal(instance: core.InstanceId, now: number): void {
     this.#getEngine(instance).avoidUntil = now + AVOID_MS;
@@ -167,7 +178,7 @@
   }
 
   #getLoad(instance: core.InstanceId): boards.LoadSum {
-    const own = sumRuns(this.#getEngine(instance).runs.values());
+    const own = computeRunSums(this.#getEngine(instance).runs.values());
     const others = this.#board.getSum(instance);
     return {
       runs: own.runs + others.runs,
@@ -183,6 +194,7 @@
       engine = {
         runs: new Map(),
         avoidUntil: -Infinity,
+        hasGenerated: false,
         tokenMs: INITIAL_TOKEN_MS,
       };
       this.#engines.set(instance, engine);
@@ -209,7 +221,7 @@
   return needed <= profile.memoryTokens * wanted.share;
 }
 
-function sumRuns(runs: Iterable<Run>): Omit<boards.LoadSum, "movingTokens"> {
+function computeRunSums(runs: Iterable<Run>): Omit<boards.LoadSum, "movingTokens"> {
   let count = 0;
   let reservedTokens = 0;
   let unreadPromptTokens = 0;
--- a/packages/policy/src/generation_queue.ts
+++ b/packages/policy/src/generation_queue.ts
@@ -26,10 +26,6 @@
 /** Tries to place a generation; returns whether it did. */
 export type TryPlace = (waiting: WaitingGeneration) => boolean;
 
-/** Time of one token that is reckoned with when a generation counts as hopeless. */
-const TOKEN_MS = 7;
-/** Time to read a prompt token, where the engine does nothing else. */
-const PROMPT_TOKEN_MS = 1 / 14;
 /** Rate of admissions is measured over this time. */
 const RATE_WINDOW_MS = 5_000;
 /** Fewest admissions from which a rate is taken. */
@@ -44,8 +40,14 @@
 export class GenerationQueue {
   readonly #waiting = new Map<core.RequestId, WaitingGeneration>();
   readonly #running = new Map<string, number>();
+  readonly #getTokenMs: () => number;
   #admissions: Admission[] = [];
 
+  /** `getTokenMs` gives the time of one token at the quickest engine; 0 if it is not known. */
+  constructor(getTokenMs: () => number) {
+    this.#getTokenMs = getTokenMs;
+  }
+
   get size(): number {
     return this.#waiting.size;
   }
@@ -87,7 +89,7 @@
   takeHopeless(now: number): WaitingGeneration[] {
     const hopeless: WaitingGeneration[] = [];
     for (const waiting of this.#waiting.values()) {
-      if (now + predictDurationMs(waiting) <= waiting.answerBy) continue;
+      if (now + this.#predictDurationMs(waiting) <= waiting.answerBy) continue;
       this.#waiting.delete(waiting.request);
       hopeless.push(waiting);
     }
@@ -113,7 +115,12 @@
   /** Whether `candidate` would start too late to be whole in time. */
   isHopeless(candidate: WaitingGeneration, now: number): boolean {
     const startAt = now + this.predictWaitMs(candidate, now);
-    return startAt + predictDurationMs(candidate) > candidate.answerBy;
+    return startAt + this.#predictDurationMs(candidate) > candidate.answerBy;
+  }
+
+  /** Time of the output alone; reading the prompt depends on what else the engine reads. */
+  #predictDurationMs(waiting: WaitingGeneration): number {
+    return (getTokens(waiting) - waiting.size.promptTokens) * this.#getTokenMs();
   }
 
   #listInOrder(now: number): WaitingGeneration[] {
@@ -136,9 +143,3 @@
 function getTokens(waiting: WaitingGeneration): number {
   return placements.predictTotalTokens(waiting.size, 0);
 }
-
-function predictDurationMs(waiting: WaitingGeneration): number {
-  const { promptTokens } = waiting.size;
-  const output = getTokens(waiting) - promptTokens;
-  return promptTokens * PROMPT_TOKEN_MS + output * TOKEN_MS;
-}
