Let one process of a zone watch and confirm the store for the others

Change: the first process of a zone that is in contact with the store watches; reports between processes carry what it learns. A confirmation that another process made counts from the message that its report answers, so that a late report makes nothing look fresh. A gap between reports leads to a listing. Ruled out: one-way ages (a report that a cut held up for seconds would count as fresh).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 
 import * as http from "node:http";
 import * as core from "@peridotvale/core";
+import type * as peers from "@peridotvale/peers";
 import * as policy from "@peridotvale/policy";
 import * as callForwarders from "./call_forwarder.ts";
 import * as announcers from "./announcer.ts";
@@ -79,16 +80,8 @@
       clock: options.clock,
       logger: options.logger,
       board: this.#context.board,
-      listLoads: () => {
-        const { engines } = this.#context;
-        return engines.listOwnLoads((instance) => this.#handOvers.getMovingTokens(instance));
-      },
-      listNotices: (now) => this.#context.directory.listNotices(now),
-      onNotices: (notices, now) => {
-        for (const notice of notices) {
-          this.#publishChanges(this.#context.directory.applyNotice(notice, now));
-        }
-      },
+      createReport: (now) => this.#createReport(now),
+      onReport: (report, received) => this.#applyReport(report, received),
     });
     const { process, zone } = options.settings;
     this.#announcer = new announcers.Announcer({
@@ -105,6 +98,7 @@
       logger: options.logger,
       random: options.random,
       onConfig: (now) => this.#applyConfig(now),
+      isWatcher: (now) => policy.isStoreWatcher(options.settings, this.#peers.listContacts(now)),
       onPeer: (peer) => this.#peers.applyPeer(peer),
       onPeerRemoved: (peer) => this.#peers.removePeer(peer),
       onChanges: (changes) => this.#publishChanges(changes),
@@ -112,7 +106,7 @@
     this.#leaveWatcher = new leaveWatchers.LeaveWatcher({
       context: this.#context,
       listRelays: () => this.#streams.relays,
-      getStoreOutageMs: (now) => this.#agent.getOutageMs(now),
+      isStoreLost: (now) => this.#agent.getOutageMs(now) > 0 || this.#peers.hasLostStore(),
     });
     this.#handler = new handlers.RequestHandler({
       context: this.#context,
@@ -226,6 +220,39 @@
     return front;
   }
 
+  #createReport(now: number): peerAgents.OwnReport {
+    const { engines, directory, config } = this.#context;
+    const release = config.inForce?.config.release;
+    return {
+      loads: engines.listOwnLoads((instance) => this.#handOvers.getMovingTokens(instance)),
+      notices: directory.listNotices(now),
+      store: release === undefined ? undefined : {
+        release,
+        confirmAgeMs: config.getAge(now),
+        isReachable: this.#agent.getOutageMs(now) === 0,
+        revision: this.#agent.revision,
+        changed: directory.listChanged(now),
+      },
+    };
+  }
+
+  #applyReport(
+    report: peers.EngineLoadsMessage,
+    received: peerAgents.ReceivedReport,
+  ): void {
+    const { directory, config } = this.#context;
+    const { sentAt, now } = received;
+    for (const notice of report.notices) {
+      this.#publishChanges(directory.applyNotice(notice, now));
+    }
+    const { store } = report;
+    if (store === undefined) return;
+    this.#agent.applyNews(store, received);
+    if (sentAt === undefined) return;
+    const release = core.createRelease(store.release);
+    config.applyPeerConfirmation(release, { sentAt, ageMs: store.confirmAgeMs });
+  }
+
   #applyConfig(now: number): void {
     const limits = this.#context.config.inForce?.config.limits;
     if (limits !== undefined) {
--- a/packages/gateway/src/leave_watcher.ts
+++ b/packages/gateway/src/leave_watcher.ts
@@ -12,14 +12,12 @@
 export interface LeaveWatcherOptions {
   readonly context: contexts.GatewayContext;
   readonly listRelays: () => ReadonlySet<relays.GenerationRelay>;
-  /** How long the store has not answered; 0 while it does. */
-  readonly getStoreOutageMs: (now: number) => number;
+  /** Whether news of the store may not arrive. */
+  readonly isStoreLost: (now: number) => boolean;
 }
 
 /** Engines are asked this often; a reclaim gives less than 2 s of notice. */
 const ASK_INTERVAL_MS = 200;
-/** The store may miss this much before engines are asked. */
-const MIN_OUTAGE_MS = 1;
 
 /** Watches the engines that run this process's generations. */
 export class LeaveWatcher {
@@ -39,8 +37,8 @@
   }
 
   #checkEngines(): void {
-    const { context, listRelays, getStoreOutageMs } = this.#options;
-    if (getStoreOutageMs(context.clock.now()) < MIN_OUTAGE_MS) return;
+    const { context, listRelays, isStoreLost } = this.#options;
+    if (!isStoreLost(context.clock.now())) return;
     const asked = new Set<core.InstanceId>();
     for (const { endpoint } of listRelays()) {
       if (asked.has(endpoint.instance)) continue;
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -1,44 +1,80 @@
-/** Links to the other gateway processes; tells them what this one runs at engines. */
+/**
+ * Links to the other gateway processes. Each tells the others what it runs at
+ * engines, what it has seen leaving and what it knows of the store.
+ */
 
 import * as core from "@peridotvale/core";
 import * as peers from "@peridotvale/peers";
-import type * as policy from "@peridotvale/policy";
+import * as policy from "@peridotvale/policy";
 import type * as settingsModule from "./gateway_settings.ts";
 import type * as stores from "./routing_store.ts";
 
+/** What is told to the others. */
+export interface OwnReport {
+  readonly loads: readonly policy.EngineLoad[];
+  readonly notices: readonly policy.LeaveNotice[];
+  readonly store: peers.StoreView | undefined;
+}
+
+/** How a report was received. */
+export interface ReceivedReport {
+  /** When the message that it answers was sent, by this process's clock. */
+  readonly sentAt: number | undefined;
+  /** Whether the report before it is so recent that no news was missed. */
+  readonly isContinuous: boolean;
+  readonly now: number;
+}
+
 /** Options of {@linkcode PeerAgent}. */
 export interface PeerAgentOptions {
   readonly settings: settingsModule.GatewaySettings;
   readonly clock: core.Clock;
   readonly logger: core.Logger;
   readonly board: policy.LoadBoard;
-  readonly listLoads: () => readonly policy.EngineLoad[];
-  readonly listNotices: (now: number) => readonly policy.LeaveNotice[];
-  /** Called with what another process has seen leaving. */
-  readonly onNotices: (notices: readonly policy.LeaveNotice[], now: number) => void;
+  readonly createReport: (now: number) => OwnReport;
+  /** Called with what another process has told; `sentAt` is when it was asked. */
+  readonly onReport: (
+    report: peers.EngineLoadsMessage,
+    received: ReceivedReport,
+  ) => void;
 }
 
-/** Changes are reported at most this often. */
+interface KnownPeer {
+  readonly target: peers.PeerTarget & { readonly zone: core.ZoneName };
+  /** Whether its announcement is gone; its reports decide whether it still lives. */
+  isWithdrawn: boolean;
+}
+
+interface LastReport {
+  readonly zone: core.ZoneName;
+  readonly sentAt: number;
+  readonly confirmedAt: number;
+  readonly receivedAt: number;
+  readonly hasStore: boolean;
+}
+
+/** Changes are reported at most this often in a small fleet. */
 const REPORT_INTERVAL_MS = 100;
+/** In larger fleets reports come less often, so that their number stays bounded. */
+const PROCESSES_PER_INTERVAL = 8;
 /** A report without change is repeated after this time, and shows that the link lives. */
 const REPEAT_INTERVAL_MS = 500;
 /** A link over which nothing came for this long is replaced. */
-const SILENT_LINK_MS = 1_600;
+const SILENT_LINK_MS = 2_000;
+/** Reports tell what changed in the last 1.5 s; two that are this close leave no gap. */
+const CONTINUOUS_MS = 1_200;
+/** Fleets up to this size are linked in full. */
+const FULL_MESH_PROCESSES = 12;
 
-interface KnownPeer {
-  readonly target: peers.PeerTarget;
-  /** Whether its announcement is gone; the link decides whether it still lives. */
-  isWithdrawn: boolean;
-}
-
-/** Keeps a link to every announced process. */
+/** Keeps links to the announced processes. */
 export class PeerAgent {
   readonly #options: PeerAgentOptions;
   readonly #mesh: peers.PeerMesh;
   readonly #known = new Map<core.ProcessId, KnownPeer>();
+  readonly #lastReports = new Map<core.ProcessId, LastReport>();
   readonly #incarnation: number;
   #timer: NodeJS.Timeout | undefined;
-  #lastReport = "";
+  #lastText = "";
   #lastReportAt = -Infinity;
 
   constructor(options: PeerAgentOptions) {
@@ -98,9 +134,28 @@
     this.#report(this.#options.clock.now(), true);
   }
 
+  /** The contact of other processes with the store, as they last told. */
+  listContacts(now: number): policy.StoreContact[] {
+    const contacts: policy.StoreContact[] = [];
+    for (const [process, last] of this.#lastReports) {
+      contacts.push({ process, zone: last.zone, confirmAgeMs: now - last.confirmedAt });
+    }
+    return contacts;
+  }
+
+  /** Whether a linked process that watches for this one cannot reach the store. */
+  hasLostStore(): boolean {
+    const { zone } = this.#options.settings;
+    for (const last of this.#lastReports.values()) {
+      if (last.zone === zone && !last.hasStore) return true;
+    }
+    return false;
+  }
+
   #runTick(): void {
     const now = this.#options.clock.now();
     this.#mesh.closeSilent(SILENT_LINK_MS, now);
+    this.#options.board.expireReports(now);
     let hasChanged = false;
     for (const [process, known] of this.#known) {
       if (!known.isWithdrawn || this.#options.board.hasReport(process)) continue;
@@ -109,51 +164,73 @@
     }
     if (hasChanged) this.#updateTargets();
     this.#mesh.runTick(now);
-    this.#options.board.expireReports(now);
+    const linked = this.#lastReports.size;
+    const intervalMs = REPORT_INTERVAL_MS * Math.max(1, linked / PROCESSES_PER_INTERVAL);
+    if (now - this.#lastReportAt < intervalMs) return;
     this.#report(now, now - this.#lastReportAt >= REPEAT_INTERVAL_MS);
   }
 
   #report(now: number, isForced: boolean): void {
-    const report = this.#createReport(now);
-    const text = JSON.stringify(report);
-    if (!isForced && text === this.#lastReport) return;
-    this.#lastReport = text;
+    const report = this.#options.createReport(now);
+    const text = JSON.stringify([
+      report.loads,
+      report.notices,
+      report.store?.release,
+      report.store?.isReachable,
+      report.store?.changed,
+    ]);
+    if (!isForced && text === this.#lastText) return;
+    this.#lastText = text;
     this.#lastReportAt = now;
-    for (const link of this.#mesh.getLinks()) {
-      if (link.peer !== undefined) link.send(report);
-    }
+    for (const link of this.#mesh.getLinks()) this.#sendReport(link, report, now);
   }
 
-  #createReport(now: number): peers.EngineLoadsMessage {
-    return {
-      type: "engine_loads",
-      loads: this.#options.listLoads(),
-      notices: this.#options.listNotices(now),
-    };
+  #sendReport(link: peers.PeerLink, report: OwnReport, now: number): void {
+    if (link.peer === undefined) return;
+    const answersSentAt = this.#lastReports.get(link.peer.process)?.sentAt;
+    link.send({ type: "engine_loads", ...report, sentAt: now, answersSentAt });
   }
 
   /** Of two processes, the one whose name comes first opens the link. */
   #updateTargets(): void {
+    const { process: self, zone } = this.#options.settings;
+    const isSmall = this.#known.size < FULL_MESH_PROCESSES;
     const targets: peers.PeerTarget[] = [];
     for (const { target } of this.#known.values()) {
-      if (this.#options.settings.process < target.process) targets.push(target);
+      const isWanted = isSmall || target.zone === zone;
+      if (isWanted && self < target.process) targets.push(target);
     }
     this.#mesh.updateTargets(targets, this.#options.clock.now());
   }
 
   #onLinkOpened(link: peers.PeerLink): void {
     this.#options.logger.write("peer_linked", { peer: link.peer?.process });
-    link.send(this.#createReport(this.#options.clock.now()));
+    const now = this.#options.clock.now();
+    this.#sendReport(link, this.#options.createReport(now), now);
   }
 
   #onMessage(link: peers.PeerLink, message: peers.PeerMessage): void {
     if (message.type !== "engine_loads" || link.peer === undefined) return;
     const now = this.#options.clock.now();
-    this.#options.board.applyReport(link.peer.process, message.loads, now);
-    this.#options.onNotices(message.notices, now);
+    const { process, zone } = link.peer;
+    this.#options.board.applyReport(process, message.loads, now);
+    const sentAt = message.answersSentAt;
+    const ageMs = message.store?.confirmAgeMs ?? Infinity;
+    const confirmedAt = sentAt === undefined ? -Infinity : sentAt - ageMs;
+    const last = this.#lastReports.get(process);
+    this.#lastReports.set(process, {
+      zone,
+      sentAt: message.sentAt,
+      confirmedAt,
+      receivedAt: now,
+      hasStore: message.store?.isReachable ?? false,
+    });
+    const isContinuous = last !== undefined && now - last.receivedAt < CONTINUOUS_MS;
+    this.#options.onReport(message, { sentAt, isContinuous, now });
   }
 
   #onLinkLost(process: core.ProcessId): void {
+    this.#lastReports.delete(process);
     this.#options.logger.write("peer_lost", { peer: process });
   }
 }
--- a/packages/gateway/src/store_agent.ts
+++ b/packages/gateway/src/store_agent.ts
@@ -12,6 +12,10 @@
 const WATCH_WAIT_MS = 10_000;
 /** Confirmations are this far apart: half the time in which a configuration has to be in force. */
 const CONFIRM_INTERVAL_MS = 1_000;
+/** A process that hears of confirmations from others lets them grow this old. */
+const RELAYED_CONFIRM_AGE_MS = 2_000;
+/** How often the age of the last confirmation is looked at. */
+const CONFIRM_POLL_MS = 200;
 /** A read that takes longer counts as failed; a slow store answers within 250 ms. */
 const READ_TIMEOUT_MS = 900;
 /** Pause after a failed call, so that a store that is away is not flooded. */
@@ -19,6 +23,8 @@
 const MAX_BACKOFF_MS = 800;
 /** A watch may lag behind a read by this much before it counts as deaf. */
 const DEAF_WATCH_MS = 200;
+/** How often a process that does not watch looks whether it should. */
+const DUTY_INTERVAL_MS = 100;
 /** Failures of the store for this long count as an outage, in which entries may lapse. */
 const OUTAGE_MS = 700;
 
@@ -30,6 +36,8 @@
   readonly clock: core.Clock;
   readonly logger: core.Logger;
   readonly random: core.RandomSource;
+  /** Whether this process watches the store, or hears of it from others. */
+  readonly isWatcher: (now: number) => boolean;
   readonly onConfig: (now: number) => void;
   readonly onPeer: (peer: stores.AnnouncedPeer) => void;
   readonly onPeerRemoved: (process: core.ProcessId) => void;
@@ -93,12 +101,24 @@
   async #runConfirmations(): Promise<void> {
     let backoffMs = MIN_BACKOFF_MS;
     while (!this.#isStopped) {
+      if (this.#isConfirmedLately()) {
+        await core.waitFor(CONFIRM_POLL_MS);
+        continue;
+      }
       const isConfirmed = await this.confirm(0);
       backoffMs = isConfirmed ? MIN_BACKOFF_MS : Math.min(backoffMs * 2, MAX_BACKOFF_MS);
       await core.waitFor(isConfirmed ? this.#drawInterval() : backoffMs);
     }
   }
 
+  /** Another process's confirmation serves as well as an own one. */
+  #isConfirmedLately(): boolean {
+    const { config, clock, isWatcher } = this.#options;
+    const now = clock.now();
+    const maxAgeMs = isWatcher(now) ? CONFIRM_INTERVAL_MS : RELAYED_CONFIRM_AGE_MS;
+    return config.getAge(now) < maxAgeMs;
+  }
+
   async #readConfig(askedAt: number): Promise<boolean> {
     const { store, clock } = this.#options;
     const reading = await store.readConfig({ timeoutMs: READ_TIMEOUT_MS });
@@ -118,6 +138,10 @@
   async #runWatches(): Promise<void> {
     let backoffMs = MIN_BACKOFF_MS;
     while (!this.#isStopped) {
+      if (this.#hasListed && !this.#options.isWatcher(this.#options.clock.now())) {
+        await core.waitFor(DUTY_INTERVAL_MS);
+        continue;
+      }
       const hasWorked = this.#watchedRevision === undefined
         ? await this.#list()
         : await this.#watchOnce(this.#watchedRevision);
@@ -177,6 +201,7 @@
       waitMs: WATCH_WAIT_MS,
       signal: watch.signal,
     });
+    this.#watch = undefined;
     const now = clock.now();
     if (seen.isOk()) {
       this.#recordSuccess(now);
@@ -214,6 +239,36 @@
     }
   }
 
+  /** Revision up to which the endpoints are known; 0 before the first listing. */
+  get revision(): number {
+    return this.#watchedRevision ?? 0;
+  }
+
+  /**
+   * Applies what a process has told of the store. `isContinuous` says that its last
+   * report is so recent that no change was missed between the two.
+   */
+  applyNews(
+    news: {
+      readonly release: number;
+      readonly revision: number;
+      readonly changed: readonly core.EndpointRecord[];
+    },
+    received: { readonly isContinuous: boolean; readonly now: number },
+  ): void {
+    const { isContinuous, now } = received;
+    for (const record of news.changed) {
+      this.#options.onChanges(this.#options.directory.applyRecord(record, now), now);
+    }
+    const known = this.#watchedRevision;
+    if (known !== undefined && known < news.revision && !this.#options.isWatcher(now)) {
+      if (isContinuous) this.#watchedRevision = news.revision;
+      else void this.#list();
+    }
+    const release = this.#options.config.inForce?.config.release ?? 0;
+    if (news.release > release) void this.confirm(0);
+  }
+
   /** Ends a watch that does not report what a read has shown to exist. */
   #checkWatch(storeRevision: number, now: number): void {
     const watched = this.#watchedRevision;
@@ -231,6 +286,7 @@
         revision: storeRevision,
       });
       this.#watch?.abort();
+      if (this.#watch === undefined) void this.#list();
     }, DEAF_WATCH_MS);
   }
 
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -72,6 +72,25 @@
   readonly loads: readonly policy.EngineLoad[];
   /** Endpoints that the sender has seen leaving. */
   readonly notices: readonly policy.LeaveNotice[];
+  /** Time of the sender's clock. */
+  readonly sentAt: number;
+  /** The `sentAt` that the receiver sent last; undefined before the first. */
+  readonly answersSentAt: number | undefined;
+  /** What the sender knows of the store. */
+  readonly store: StoreView | undefined;
+}
+
+/** How a process sees the store. */
+export interface StoreView {
+  readonly release: number;
+  /** Age of its last confirmation of the configuration. */
+  readonly confirmAgeMs: number;
+  /** Whether its last call to the store succeeded. */
+  readonly isReachable: boolean;
+  /** Revision up to which the sender knows the endpoints. */
+  readonly revision: number;
+  /** Endpoints that have changed lately. */
+  readonly changed: readonly core.EndpointRecord[];
 }
 
 /** Asks for the decisions about a request. */
--- a/packages/policy/src/config_register.ts
+++ b/packages/policy/src/config_register.ts
@@ -40,6 +40,19 @@
     return true;
   }
 
+  /**
+   * Applies that another process confirmed `release` at most `ageMs` before it
+   * answered a message that was sent at `sentAt` by this process's clock. However
+   * late the answer comes, the confirmation is not older than that.
+   */
+  applyPeerConfirmation(
+    release: core.Release,
+    answered: { readonly sentAt: number; readonly ageMs: number },
+  ): void {
+    if (release !== this.#inForce?.config.release) return;
+    this.#confirmedAt = Math.max(this.#confirmedAt, answered.sentAt - answered.ageMs);
+  }
+
   /** Age of the last confirmation; Infinity without one. */
   getAge(now: number): number {
     return now - this.#confirmedAt;
--- a/packages/policy/src/config_register_test.ts
+++ b/packages/policy/src/config_register_test.ts
@@ -47,3 +47,15 @@
   );
   t.end();
 });
+
+tap.t.test("another process's confirmation counts from the message that it answers", (t) => {
+  const register = new registers.ConfigRegister();
+  register.adopt(createConfig(3), 0);
+  // Sent at 5,000, answered with an age of 400, received much later.
+  register.applyPeerConfirmation(core.createRelease(3), { sentAt: 5_000, ageMs: 400 });
+  t.equal(register.confirmedAt, 4_600);
+  register.applyPeerConfirmation(core.createRelease(2), { sentAt: 9_000, ageMs: 0 });
+  register.applyPeerConfirmation(core.createRelease(4), { sentAt: 9_000, ageMs: 0 });
+  t.equal(register.confirmedAt, 4_600, "another release confirms nothing");
+  t.end();
+});
--- a/packages/policy/src/instance_directory.ts
+++ b/packages/policy/src/instance_directory.ts
@@ -30,6 +30,8 @@
   /** Set while it gets no new work. */
   leaving: LeaveReason | undefined;
   leavingSince: number;
+  /** When its entry changed last. */
+  changedAt: number;
   /** Revision of the store up to which its state is known. */
   revision: number;
   /** Set while its entry is missing after an outage of the store. */
@@ -38,6 +40,8 @@
 
 /** Entries that lapsed in an outage of the store are back within 2 s of its return. */
 const LAPSED_ENTRY_GRACE_MS = 2_000;
+/** How long others are told of a changed entry; several reports go out in this time. */
+const NEWS_MS = 1_500;
 /** How long others are told that an instance leaves. */
 const NOTICE_MS = 10_000;
 /** How long an instance that has left is remembered for requests still open on it. */
@@ -86,6 +90,7 @@
         record,
         leaving,
         leavingSince: now,
+        changedAt: now,
         revision: record.revision,
         missingSince: undefined,
       };
@@ -94,6 +99,7 @@
       return [{ type: "added", record }];
     }
     const isNews = record.revision > known.revision;
+    if (isNews) known.changedAt = now;
     known.record = record;
     known.revision = record.revision;
     known.missingSince = undefined;
@@ -135,6 +141,15 @@
     return this.#leave(known, "seen_leaving", now);
   }
 
+  /** Entries that were lately read for the first time or changed. */
+  listChanged(now: number): core.EndpointRecord[] {
+    const changed: core.EndpointRecord[] = [];
+    for (const known of this.#instances.values()) {
+      if (now - known.changedAt <= NEWS_MS) changed.push(known.record);
+    }
+    return changed;
+  }
+
   /** Instances that were lately seen to leave. */
   listNotices(now: number): LeaveNotice[] {
     const notices: LeaveNotice[] = [];
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -27,4 +27,5 @@
 export * from "./scheduler_types.ts";
 export * from "./send_policy.ts";
 export * from "./speed_model.ts";
+export * from "./store_duty.ts";
 export * from "./window_budget.ts";
--- /dev/null
+++ b/packages/policy/src/store_duty.ts
@@ -0,0 +1,32 @@
+/**
+ * Divides the calls to the store among processes: one process of each zone watches
+ * and confirms, the others hear of it. Answers a store that counts every call, in
+ * fleets where each process would otherwise ask for the same.
+ */
+
+import * as core from "@peridotvale/core";
+
+/** What a process knows of another one's contact with the store. */
+export interface StoreContact {
+  readonly process: core.ProcessId;
+  readonly zone: core.ZoneName;
+  /** Age of its last confirmation of the configuration. */
+  readonly confirmAgeMs: number;
+}
+
+/** From this age on another process's confirmations do not serve any more. */
+export const MAX_CONTACT_AGE_MS = 2_000;
+
+/** Whether `self` watches the store: the first of its zone's processes in contact with it. */
+export function isStoreWatcher(
+  self: { readonly process: core.ProcessId; readonly zone: core.ZoneName },
+  others: readonly StoreContact[],
+): boolean {
+  const own = core.computeHash32(self.process);
+  for (const other of others) {
+    if (other.zone !== self.zone || other.confirmAgeMs > MAX_CONTACT_AGE_MS) continue;
+    const rank = core.computeHash32(other.process);
+    if (rank < own || (rank === own && other.process < self.process)) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/packages/policy/src/store_duty_test.ts
@@ -0,0 +1,35 @@
+import * as core from "@peridotvale/core";
+import * as fastCheck from "fast-check";
+import * as tap from "tap";
+import * as duties from "./store_duty.ts";
+
+const ZONES = ["a", "b"].map((zone) => core.createId<core.ZoneName>(zone));
+const CONTACTS = Array.from({ length: 8 }, (_, index) => ({
+  process: core.createId<core.ProcessId>(`front-${index}`),
+  zone: ZONES[index % 2]!,
+}));
+
+tap.t.test("each zone with a process in contact with the store has a watcher in contact", (t) => {
+  const ages = fastCheck.array(fastCheck.constantFrom(100, 5_000), {
+    minLength: 8,
+    maxLength: 8,
+  });
+  fastCheck.assert(
+    fastCheck.property(ages, (list) => {
+      const all = CONTACTS.map((one, index) => ({ ...one, confirmAgeMs: list[index]! }));
+      for (const zone of ZONES) {
+        const members = all.filter((one) => one.zone === zone);
+        const watchers = members.filter((self) =>
+          duties.isStoreWatcher(self, all.filter((other) => other !== self))
+        );
+        const isServed = members.some((one) => one.confirmAgeMs === 100);
+        const inContact = watchers.filter((one) => one.confirmAgeMs === 100);
+        if (isServed && inContact.length !== 1) return false;
+      }
+      return true;
+    }),
+    { seed: 20261204 },
+  );
+  t.equal(duties.isStoreWatcher(CONTACTS[0]!, []), true, "a process alone watches");
+  t.end();
+});
