--- a/packages/gateway/src/leave_watcher.ts
+++ b/packages/gateway/src/leave_watcher.ts
@@ -1,6 +1,6 @@
 /**
  * Asks engines whether they leave while the store does not say: the store is away,
- * or turns this machine away. One process asks each engine; the others hear of it.
+ * turns this machine away, or has lost their entries in an outage. One process asks each engine; the others hear of it.
  */
 
 import type * as core from "@peridotvale/core";
@@ -38,11 +38,12 @@
 
   #checkEngines(): void {
     const { context, listRelays, isStoreLost } = this.#options;
-    if (!isStoreLost(context.clock.now())) return;
+    const isLost = isStoreLost(context.clock.now());
     const asked = new Set<core.InstanceId>();
     for (const { endpoint } of listRelays()) {
       if (asked.has(endpoint.instance)) continue;
       asked.add(endpoint.instance);
+      if (!isLost && !context.directory.isEntryMissing(endpoint.instance)) continue;
       const others = context.board.listBusyProcesses(endpoint.instance);
       const isTurn = policy.isOwnTurn(context.settings.process, endpoint.instance, others);
       if (isTurn && context.directory.isUsable(endpoint.instance)) void this.#checkEngine(endpoint);
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -31,6 +31,8 @@
 const REFUSAL_CONFIRM_AGE_MS = 20;
 /** Longest wait for a confirmation before a request is refused for now. */
 const CONFIRM_WAIT_MS = 600;
+/** After this long without an answer of the store, nothing waits for it any more. */
+const KNOWN_OUTAGE_MS = 300;
 /** Bytes of bodies that are held at once. */
 const MAX_HELD_BODY_BYTES = 48 * 1024 * 1024;
 
@@ -165,7 +167,10 @@
     return undefined;
   }
 
+  /** Waits for a confirmation, unless it is known that the store does not answer. */
   async #confirm(): Promise<boolean> {
+    const { agent, context } = this.#options;
+    if (agent.getOutageMs(context.clock.now()) > KNOWN_OUTAGE_MS) return false;
     let timer: NodeJS.Timeout | undefined;
     const late = new Promise<boolean>((resolve) => {
       timer = setTimeout(() => resolve(false), CONFIRM_WAIT_MS);
--- a/packages/gateway/src/store_agent.ts
+++ b/packages/gateway/src/store_agent.ts
@@ -54,6 +54,7 @@
   #confirming: Promise<boolean> | undefined;
   #lastConfirmStart = -Infinity;
   #failingSince: number | undefined;
+  #lastSuccessAt = -Infinity;
   #deafSince: number | undefined;
   #hasListed = false;
 
@@ -124,7 +125,7 @@
     const reading = await store.readConfig({ timeoutMs: READ_TIMEOUT_MS });
     const now = clock.now();
     if (reading.isErr()) {
-      this.#recordFailure(reading.error, now);
+      this.#recordFailure(reading.error, { begunAt: askedAt });
       return false;
     }
     this.#recordSuccess(now);
@@ -160,7 +161,7 @@
     const listing = await store.listAll({ timeoutMs: READ_TIMEOUT_MS });
     const now = clock.now();
     if (listing.isErr()) {
-      this.#recordFailure(listing.error, now);
+      this.#recordFailure(listing.error, { begunAt: askedAt });
       return false;
     }
     this.#recordSuccess(now);
@@ -196,6 +197,7 @@
   async #watchOnce(afterRevision: number): Promise<boolean> {
     const { store, clock } = this.#options;
     const watch = new AbortController();
+    const begunAt = clock.now();
     this.#watch = watch;
     const seen = await store.watch(afterRevision, {
       waitMs: WATCH_WAIT_MS,
@@ -213,7 +215,9 @@
     this.#watchedRevision = undefined;
     const { error } = seen;
     this.#options.logger.write("watch_ended", { reason: error.type, detail: error.detail });
-    if (error.type !== "history_lost" && !watch.signal.aborted) this.#recordFailure(error, now);
+    if (error.type !== "history_lost" && !watch.signal.aborted) {
+      this.#recordFailure(error, { begunAt });
+    }
     return error.type === "history_lost" || watch.signal.aborted;
   }
 
@@ -290,13 +294,16 @@
     }, DEAF_WATCH_MS);
   }
 
-  #recordFailure(error: stores.StoreError, now: number): void {
-    if (this.#failingSince !== undefined) return;
+  /** A call that began before another one succeeded says nothing new. */
+  #recordFailure(error: stores.StoreError, call: { readonly begunAt: number }): void {
+    if (this.#failingSince !== undefined || call.begunAt < this.#lastSuccessAt) return;
+    const now = this.#options.clock.now();
     this.#failingSince = now;
     this.#options.logger.write("store_lost", { reason: error.type, detail: error.detail });
   }
 
   #recordSuccess(now: number): void {
+    this.#lastSuccessAt = now;
     if (this.#failingSince === undefined) return;
     const durationMs = now - this.#failingSince;
     this.#failingSince = undefined;
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -101,7 +101,7 @@
     if (this.#queue.isHopeless(waiting, now)) return "no_engine_in_time";
     return await new Promise((resolve) => {
       this.#waiters.set(waiting.request, { avoid, resolve });
-      this.#queue.add(waiting);
+      this.#queue.add(waiting, now);
       request.setCancel(() => {
         this.#queue.remove(waiting.request);
         this.#settle(waiting.request, "caller_gone");
--- a/packages/policy/src/generation_queue.ts
+++ b/packages/policy/src/generation_queue.ts
@@ -28,8 +28,6 @@
 
 /** Rate of admissions is measured over this time. */
 const RATE_WINDOW_MS = 5_000;
-/** Fewest admissions from which a rate is taken. */
-const MIN_ADMISSIONS = 4;
 
 interface Admission {
   readonly at: number;
@@ -42,6 +40,8 @@
   readonly #running = new Map<string, number>();
   readonly #getTokenMs: () => number;
   #admissions: Admission[] = [];
+  /** Since when something has been waiting; undefined while nothing is. */
+  #waitingSince: number | undefined;
 
   /** `getTokenMs` gives the time of one token at the quickest engine; 0 if it is not known. */
   constructor(getTokenMs: () => number) {
@@ -52,12 +52,14 @@
     return this.#waiting.size;
   }
 
-  add(waiting: WaitingGeneration): void {
+  add(waiting: WaitingGeneration, now: number): void {
+    this.#waitingSince ??= now;
     this.#waiting.set(waiting.request, waiting);
   }
 
   remove(request: core.RequestId): void {
     this.#waiting.delete(request);
+    if (this.#waiting.size === 0) this.#waitingSince = undefined;
   }
 
   /** Records that a generation has started at an engine. */
@@ -81,7 +83,7 @@
     for (const waiting of this.#listInOrder(now)) {
       if (blockedServices.has(waiting.service)) continue;
       if (!tryPlace(waiting)) blockedServices.add(waiting.service);
-      else this.#waiting.delete(waiting.request);
+      else this.remove(waiting.request);
     }
   }
 
@@ -90,7 +92,7 @@
     const hopeless: WaitingGeneration[] = [];
     for (const waiting of this.#waiting.values()) {
       if (now + this.#predictDurationMs(waiting) <= waiting.answerBy) continue;
-      this.#waiting.delete(waiting.request);
+      this.remove(waiting.request);
       hopeless.push(waiting);
     }
     return hopeless;
@@ -98,12 +100,13 @@
 
   /**
    * Predicts the wait of one more generation from what waits before it and from how
-   * fast generations were admitted lately; 0 while that is not known.
+   * fast generations were admitted lately; 0 while that is not known. Admissions show
+   * the engines' capacity only while others wait all the time.
    */
   predictWaitMs(candidate: WaitingGeneration, now: number): number {
     this.#admissions = this.#admissions.filter((one) => now - one.at <= RATE_WINDOW_MS);
-    const [oldest] = this.#admissions;
-    if (oldest === undefined || this.#admissions.length < MIN_ADMISSIONS) return 0;
+    const waitedMs = this.#waitingSince === undefined ? 0 : now - this.#waitingSince;
+    if (waitedMs < RATE_WINDOW_MS || this.#admissions.length === 0) return 0;
     let before = 0;
     for (const waiting of this.#waiting.values()) {
       if (waiting.rank <= candidate.rank) before += getTokens(waiting);
--- a/packages/policy/src/instance_directory.ts
+++ b/packages/policy/src/instance_directory.ts
@@ -202,6 +202,11 @@
     return count;
   }
 
+  /** Whether the entry of `instance` is missing after an outage, in which it may have lapsed. */
+  isEntryMissing(instance: core.InstanceId): boolean {
+    return this.#instances.get(instance)?.missingSince !== undefined;
+  }
+
   /** Whether `instance` may get new work. */
   isUsable(instance: core.InstanceId): boolean {
     const known = this.#instances.get(instance);
--- a/packages/policy/src/instance_directory_test.ts
+++ b/packages/policy/src/instance_directory_test.ts
@@ -102,3 +102,16 @@
   t.same(listIds(directory), ["a"]);
   t.end();
 });
+
+tap.t.test("an entry that may have lapsed is known as missing until it is back", (t) => {
+  const directory = new directories.InstanceDirectory();
+  const { instance } = createRecord("a");
+  directory.applyListing([createRecord("a")], { revision: 1, now: 0 });
+  t.equal(directory.isEntryMissing(instance), false);
+  directory.recordStoreReturn(100);
+  directory.applyListing([], { revision: 2, now: 110 });
+  t.equal(directory.isEntryMissing(instance), true);
+  directory.applyRecord(createRecord("a", { revision: 3 }), 200);
+  t.equal(directory.isEntryMissing(instance), false);
+  t.end();
+});
