--- a/packages/operators/src/peridotctl.ts
+++ b/packages/operators/src/peridotctl.ts
@@ -5,6 +5,7 @@
 import * as core from "@peridotvale/core";
 import sade from "sade";
 import * as client from "./operator_client.ts";
+import * as logs from "./log_reader.ts";
 import type * as handler from "./operator_handler.ts";
 import * as tables from "./table.ts";
 
@@ -33,6 +34,13 @@
   readonly submission?: string;
 }
 
+interface ExplainOptions extends CommonOptions {
+  /** A file; true and "-" stand for standard input. */
+  readonly log?: string | boolean;
+}
+
+/** Its file descriptor. */
+const STANDARD_INPUT = 0;
 const DEFAULT_ENTRY = "http://127.0.0.1:7070";
 
 /** Runs the command line; sets the process's exit code. */
@@ -64,7 +72,8 @@
     .action((options: CommonOptions) => showStatus(options));
   program
     .command("explain <request>", "Print the decisions about a recent request")
-    .action((request: string, options: CommonOptions) => explain(request, options));
+    .option("--log", "Read a log (a file, or - for standard input) in place of asking")
+    .action((request: string, options: ExplainOptions) => explain(request, options));
   const parsed = program.parse([...argv], { lazy: true });
   if (parsed === undefined) return;
   process.exitCode = await (parsed.handler(...parsed.args) as unknown as Promise<number>);
@@ -152,8 +161,9 @@
 
 async function explain(
   request: string,
-  options: CommonOptions,
+  options: ExplainOptions,
 ): Promise<number> {
+  if (options.log !== undefined) return explainFromLog(request, options.log, options);
   const result = await new client.OperatorClient(options.entry).explain(
     request,
   );
@@ -169,6 +179,25 @@
   return EXIT_CODES.ok;
 }
 
+function explainFromLog(
+  request: string,
+  file: string | boolean,
+  options: CommonOptions,
+): number {
+  const log = readFile(typeof file === "boolean" || file === "-" ? STANDARD_INPUT : file);
+  if (log === undefined) return EXIT_CODES.invalid;
+  const decisions = logs.findDecisions(log, request);
+  if (decisions.length === 0) {
+    writeError(options, { type: "not_found", request }, [
+      `the log has no line about ${request}`,
+      "each caller's attempt has its own id; ask the other processes' logs too",
+    ]);
+    return EXIT_CODES.notFound;
+  }
+  writeResult(options, decisions, () => formatDecisions(decisions));
+  return EXIT_CODES.ok;
+}
+
 function formatStatus(status: handler.StatusView): string {
   const silent = status.platformSilentMs === undefined
     ? "never answered"
@@ -219,7 +248,7 @@
   return `${Math.round(durationMs / 60_000)}min`;
 }
 
-function readFile(file: string): string | undefined {
+function readFile(file: string | number): string | undefined {
   try {
     return fs.readFileSync(file, "utf8");
   } catch (error) {
