--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -159,6 +159,7 @@
     const next = last.isOk() ? target : source.endpoint;
     if (next !== target) this.#context.engines.recordEnd(target.instance, this.request.id);
     this.#leg = this.#createLeg(next);
+    this.#context.getBudget(this.routed.service).recordRepeat(this.#context.clock.now());
     this.#startLeg({
       source: source.endpoint.endpoint,
       handle,
--- a/packages/policy/src/window_budget.ts
+++ b/packages/policy/src/window_budget.ts
@@ -31,6 +31,11 @@
     this.#requests.push(now);
   }
 
+  /** Records a repeat that is made in any case, such as the move of a running generation. */
+  recordRepeat(now: number): void {
+    this.#repeats.push(now);
+  }
+
   /** Takes one repeat if the bounds allow it at `processes` processes. */
   takeRepeat(now: number, processes: number): boolean {
     const from = now - this.#bounds.windowMs;
--- a/packages/policy/src/window_budget_test.ts
+++ b/packages/policy/src/window_budget_test.ts
@@ -27,3 +27,11 @@
   t.ok(repeats.length > 60, "repeats are not refused altogether");
   t.end();
 });
+
+tap.t.test("moves that are made in any case leave less for retries", (t) => {
+  const budget = new budgets.WindowBudget({ ratio: 0, allowance: 10, windowMs: 10_000 });
+  for (let i = 0; i < 8; i++) budget.recordRepeat(i);
+  t.equal(budget.takeRepeat(10, 1), false);
+  t.equal(budget.takeRepeat(10_050, 1), true);
+  t.end();
+});
