Derive confirmation intervals from the operators' bounds, keep to a part of the connections

Cause: found in reading: intervals were fixed at a bound of 2 s; nothing kept to the connections that an endpoint accepts from all callers; fields were decoded that nothing used; a connection that was never established stayed counted as open. Change: as said; the time that an endpoint is given is computed in one place.

--- a/packages/core/src/routing_config.ts
+++ b/packages/core/src/routing_config.ts
@@ -34,12 +34,6 @@
   /** Most endpoints that one request may be sent to. */
   readonly maxAttempts: number;
   readonly needsKey: boolean;
-  /** Whether the requests are generations with declared token counts. */
-  readonly isGeneration: boolean;
-  /** Whether an interrupted stream may go on with a new run. */
-  readonly isResumable: boolean;
-  /** Longest pause between two events of a stream that is on time. */
-  readonly maxPauseMs: number | undefined;
 }
 
 /** What engines of a service can do. */
@@ -51,16 +45,11 @@
   readonly tokensPerEvent: number;
   /** Whether a running generation can be moved to another engine. */
   readonly canMove: boolean;
-  /** Bytes of a token's memory. */
-  readonly bytesPerToken: number;
-  /** Speed of the link over which memory is moved, megabits per second. */
-  readonly linkMbps: number;
 }
 
 /** A group of endpoints that serve the same requests. */
 export interface RoutedService {
   readonly name: ids.ServiceName;
-  readonly healthPath: string;
   /** Connections that one endpoint accepts from all callers together. */
   readonly maxConnections: number;
   /** Set where the endpoints are model engines. */
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -39,8 +39,6 @@
 
 /** Largest answer that is read; larger ones count as broken. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-/** The endpoint is given this much less than is left, so that its own answer arrives in time. */
-const ANSWER_MARGIN_MS = 25;
 /** Share of the time left that the first send may take if another one may follow. */
 const FIRST_SEND_SHARE = 0.5;
 const SERVER_ERROR_STATUS = 500;
@@ -101,7 +99,7 @@
     history: SendHistory,
   ): core.EndpointRecord | undefined {
     return this.#context.placement.chooseEndpoint(
-      this.#context.directory.listUsable(routed.service),
+      this.#context.listEndpoints(routed.service),
       this.#context.clock.now(),
       { zone: this.#context.settings.zone, random: this.#context.random, avoid: history.tried },
     );
@@ -156,7 +154,7 @@
         if (routed.route.kind === "idempotent") call.giveUp("caller_gone");
       });
       const headers = this.#context.codec.encodeRequest(request.headers, {
-        remainingMs: Math.max(1, Math.round(remainingMs - ANSWER_MARGIN_MS)),
+        remainingMs: request.getForwardedMs(startedAt),
         instance: endpoint.instance,
         workspace: routed.workspace,
         urgency: undefined,
--- a/packages/gateway/src/connection_pool.ts
+++ b/packages/gateway/src/connection_pool.ts
@@ -46,6 +46,7 @@
 class EndpointConnection {
   readonly endpoint: core.EndpointId;
   readonly #client: undici.Client;
+  readonly #onClose: (connection: EndpointConnection) => void;
   /** Whether the connection broke with an error in place of an orderly end. */
   #isBroken = false;
   isClosed = false;
@@ -60,10 +61,8 @@
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
     });
-    this.#client.on("disconnect", () => {
-      this.isClosed = true;
-      onClose(this);
-    });
+    this.#onClose = onClose;
+    this.#client.on("disconnect", () => this.#close());
   }
 
   /** Sends a request. */
@@ -112,10 +111,17 @@
   }
 
   destroy(): void {
-    this.isClosed = true;
+    this.#close();
     this.#client.destroy().catch(() => {});
   }
 
+  /** A connection that was never established closes too, without an event of its client. */
+  #close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.#onClose(this);
+  }
+
   #connect(
     options: undici.buildConnector.Options,
     callback: undici.buildConnector.Callback,
@@ -182,6 +188,11 @@
     });
   }
 
+  /** Whether a request can go out with at most `maxOpen` connections to `endpoint`. */
+  canSend(endpoint: core.EndpointId, maxOpen: number): boolean {
+    return this.#idle.has(endpoint) || (this.#open.get(endpoint) ?? 0) < maxOpen;
+  }
+
   /** Closes idle connections to `endpoint`. */
   closeIdle(endpoint: core.EndpointId): void {
     for (const connection of this.#idle.get(endpoint) ?? []) connection.destroy();
@@ -197,8 +208,11 @@
     const idle = this.#idle.get(endpoint);
     while (idle !== undefined && idle.length > 0) {
       const connection = idle.shift();
-      if (connection !== undefined && !connection.isClosed) return connection;
+      if (connection === undefined || connection.isClosed) continue;
+      if (idle.length === 0) this.#idle.delete(endpoint);
+      return connection;
     }
+    this.#idle.delete(endpoint);
     return undefined;
   }
 
--- a/packages/gateway/src/connection_pool_test.ts
+++ b/packages/gateway/src/connection_pool_test.ts
@@ -60,3 +60,46 @@
   const endpoint = await startServer(t);
   t.equal(await sendOnce(endpoint, "/end"), "whole");
 });
+
+tap.t.test("connections to an endpoint stay within this process's part", async (t) => {
+  const endpoint = await startServer(t);
+  const pool = new pools.ConnectionPool();
+  const ended: Promise<void>[] = [];
+  for (let i = 0; i < 3; i++) {
+    t.equal(pool.canSend(endpoint, 3), true);
+    ended.push(
+      new Promise((resolve) => {
+        pool.send(endpoint, { method: "GET", path: "/end", headers: [], body: undefined }, {
+          onSent: () => {},
+          onHead: () => {},
+          onData: () => {},
+          onEnd: () => {
+            resolve();
+            return true;
+          },
+          onError: () => resolve(),
+        });
+      }),
+    );
+  }
+  t.equal(pool.canSend(endpoint, 3), false);
+  await Promise.all(ended);
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  t.equal(pool.canSend(endpoint, 3), true, "closed connections do not count");
+});
+
+tap.t.test("a connection that could not be established does not count", async (t) => {
+  const pool = new pools.ConnectionPool();
+  const nobody = core.createId<core.EndpointId>("127.0.0.1:1");
+  const error = await new Promise<Error>((resolve) => {
+    pool.send(nobody, { method: "GET", path: "/", headers: [], body: undefined }, {
+      onSent: () => t.fail("nothing can have been sent"),
+      onHead: () => {},
+      onData: () => {},
+      onEnd: () => true,
+      onError: resolve,
+    });
+  });
+  t.match(error.message, /ECONNREFUSED/);
+  t.equal(pool.canSend(nobody, 1), true);
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -98,6 +98,7 @@
       logger: options.logger,
       random: options.random,
       onConfig: (now) => this.#applyConfig(now),
+      getConfirmIntervalMs: () => policy.computeConfirmIntervalMs(this.#context.settings.bounds),
       isWatcher: (now) => policy.isStoreWatcher(options.settings, this.#peers.listContacts(now)),
       onPeer: (peer) => this.#peers.applyPeer(peer),
       onPeerRemoved: (peer) => this.#peers.removePeer(peer),
@@ -194,14 +195,26 @@
       getProcessCount: () => Math.max(MIN_PROCESSES, board.processCount + 1),
       publishChanges: (changes) => this.#publishChanges(changes),
       getEngineProfile: (service) => config.inForce?.config.services.get(service)?.engine,
+      listEndpoints: (service) => this.#listConnectable(service),
       listEngines: (service) => {
         const profile = config.inForce?.config.services.get(service)?.engine;
-        if (profile === undefined) return directory.listUsable(service).map(createPlainEngine);
-        return directory.listUsable(service).map((record) => ({ record, profile }));
+        const records = this.#listConnectable(service);
+        if (profile === undefined) return records.map(createPlainEngine);
+        return records.map((record) => ({ record, profile }));
       },
     };
   }
 
+  /** Endpoints that get new work and take another connection of this process. */
+  #listConnectable(service: core.ServiceName): core.EndpointRecord[] {
+    const { config, directory, pool } = this.#context;
+    const records = directory.listUsable(service);
+    const maxConnections = config.inForce?.config.services.get(service)?.maxConnections;
+    if (maxConnections === undefined) return records;
+    const ownShare = Math.max(1, Math.floor(maxConnections / this.#context.getProcessCount()));
+    return records.filter((record) => pool.canSend(record.endpoint, ownShare));
+  }
+
   #createFront(): http.Server {
     const front = http.createServer(
       {
@@ -337,8 +350,6 @@
       memoryTokens: Infinity,
       tokensPerEvent: 1,
       canMove: false,
-      bytesPerToken: 0,
-      linkMbps: Infinity,
     },
   };
 }
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -24,6 +24,8 @@
   /** What other processes run at engines. */
   readonly board: policy.LoadBoard;
   readonly engineControl: controls.EngineControl;
+  /** Endpoints of a service that may get new work. */
+  listEndpoints(service: core.ServiceName): core.EndpointRecord[];
   /** Engines of a service that may get new work. */
   listEngines(service: core.ServiceName): policy.EngineCandidate[];
   getEngineProfile(service: core.ServiceName): core.EngineProfile | undefined;
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -18,8 +18,6 @@
   readonly reason: string;
 }
 
-/** The engine is given this much less than is left, so that its own end arrives in time. */
-const ANSWER_MARGIN_MS = 25;
 /** Time in which a stopped leg delivers what its engine had made. */
 const LAST_EVENTS_MS = 150;
 /** Time that a copy may take; an engine that leaves is gone about 2 s after its notice. */
@@ -235,9 +233,8 @@
     if (memory === undefined) {
       this.#context.engines.recordStart(endpoint.instance, this.request.id, this.size);
     }
-    const remainingMs = this.request.getRemainingMs(this.#context.clock.now());
     const headers = this.#context.codec.encodeRequest(this.request.headers, {
-      remainingMs: Math.max(1, Math.round(remainingMs - ANSWER_MARGIN_MS)),
+      remainingMs: this.request.getForwardedMs(this.#context.clock.now()),
       instance: endpoint.instance,
       workspace: this.routed.workspace,
       urgency: this.routed.rank,
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -20,6 +20,9 @@
   readonly outcome: core.Outcome;
 }
 
+/** An endpoint is given this much less than is left. */
+const ANSWER_MARGIN_MS = 25;
+
 /** One request of a caller. */
 export class OpenRequest {
   readonly id: core.RequestId;
@@ -65,6 +68,11 @@
     return this.answerBy - now;
   }
 
+  /** Time that an endpoint is given, so that its own answer arrives before ours is due. */
+  getForwardedMs(now: number): number {
+    return Math.max(1, Math.round(this.getRemainingMs(now) - ANSWER_MARGIN_MS));
+  }
+
   /** Whether the caller has received the head of an answer. */
   get isHeadSent(): boolean {
     return this.#response.headersSent;
--- a/packages/gateway/src/problems.ts
+++ b/packages/gateway/src/problems.ts
@@ -1,6 +1,6 @@
 /** Errors of the gateway's own that callers see. */
 
-import * as core from "@peridotvale/core";
+import type * as core from "@peridotvale/core";
 
 /** Statuses that promise that a request has not run and never will. */
 const PROMISE_STATUSES = new Set([408, 421, 429, 503]);
@@ -26,9 +26,6 @@
   return { status, code, ...options };
 }
 
-/** Creates a problem for a request that was refused before it was sent. */
-export const createRefusal = core.createRefusal;
-
 /** Draws when a refused caller may return. */
 export function drawRetryAfter(random: core.RandomSource): number {
   return MIN_RETRY_AFTER_MS + random.next() * RETRY_SPREAD_MS;
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -1,7 +1,7 @@
 /** Takes a request through its checks: route, key, age of the configuration, body. */
 
 import type * as http from "node:http";
-import type * as core from "@peridotvale/core";
+import * as core from "@peridotvale/core";
 import * as policy from "@peridotvale/policy";
 import type * as calls from "./call_forwarder.ts";
 import type * as contexts from "./gateway_context.ts";
@@ -209,7 +209,7 @@
 
   #refuse(request: requests.OpenRequest, status: number, code: string): void {
     const { random } = this.#options.context;
-    request.answerProblem(problems.createRefusal(status, code, {
+    request.answerProblem(core.createRefusal(status, code, {
       detail: "the request was refused and has not run",
       retryAfterMs: status === 503 ? problems.drawRetryAfter(random) : undefined,
     }));
--- a/packages/gateway/src/store_agent.ts
+++ b/packages/gateway/src/store_agent.ts
@@ -10,10 +10,8 @@
 
 /** Longest wait of one watch; shorter than the idle time-outs of what lies between. */
 const WATCH_WAIT_MS = 10_000;
-/** Confirmations are this far apart: half the time in which a configuration has to be in force. */
-const CONFIRM_INTERVAL_MS = 1_000;
-/** A process that hears of confirmations from others lets them grow this old. */
-const RELAYED_CONFIRM_AGE_MS = 2_000;
+/** A process that hears of confirmations from others lets them grow this many intervals old. */
+const RELAYED_CONFIRM_INTERVALS = 2;
 /** How often the age of the last confirmation is looked at. */
 const CONFIRM_POLL_MS = 200;
 /** A read that takes longer counts as failed; a slow store answers within 250 ms. */
@@ -36,6 +34,8 @@
   readonly clock: core.Clock;
   readonly logger: core.Logger;
   readonly random: core.RandomSource;
+  /** How far apart confirmations of the configuration are. */
+  readonly getConfirmIntervalMs: () => number;
   /** Whether this process watches the store, or hears of it from others. */
   readonly isWatcher: (now: number) => boolean;
   readonly onConfig: (now: number) => void;
@@ -116,8 +116,8 @@
   #isConfirmedLately(): boolean {
     const { config, clock, isWatcher } = this.#options;
     const now = clock.now();
-    const maxAgeMs = isWatcher(now) ? CONFIRM_INTERVAL_MS : RELAYED_CONFIRM_AGE_MS;
-    return config.getAge(now) < maxAgeMs;
+    const intervals = isWatcher(now) ? 1 : RELAYED_CONFIRM_INTERVALS;
+    return config.getAge(now) < intervals * this.#options.getConfirmIntervalMs();
   }
 
   async #readConfig(askedAt: number): Promise<boolean> {
@@ -312,6 +312,6 @@
   }
 
   #drawInterval(): number {
-    return CONFIRM_INTERVAL_MS * (0.8 + 0.4 * this.#options.random.next());
+    return this.#options.getConfirmIntervalMs() * (0.8 + 0.4 * this.#options.random.next());
   }
 }
--- a/packages/policy/src/engine_placement_test.ts
+++ b/packages/policy/src/engine_placement_test.ts
@@ -10,8 +10,6 @@
   memoryTokens: 34_000,
   tokensPerEvent: 4,
   canMove: true,
-  bytesPerToken: 35_000,
-  linkMbps: 5_000,
 };
 
 function createCandidates(count: number): placements.EngineCandidate[] {
--- a/packages/policy/src/route_table_test.ts
+++ b/packages/policy/src/route_table_test.ts
@@ -18,9 +18,6 @@
     targets,
     maxAttempts: 2,
     needsKey: true,
-    isGeneration: false,
-    isResumable: false,
-    maxPauseMs: undefined,
   };
 }
 
--- a/packages/policy/src/store_duty.ts
+++ b/packages/policy/src/store_duty.ts
@@ -17,6 +17,26 @@
 /** From this age on another process's confirmations do not serve any more. */
 export const MAX_CONTACT_AGE_MS = 2_000;
 
+/** Longest pause between confirmations. */
+const MAX_CONFIRM_INTERVAL_MS = 2_000;
+/**
+ * Confirmations for each bound that depends on them: one may fail, and the news then
+ * still has to reach the other processes.
+ */
+const CONFIRMS_PER_APPLY_BOUND = 2;
+const CONFIRMS_PER_REVOCATION_BOUND = 4;
+
+/** Computes how far apart confirmations are under the operators' bounds. */
+export function computeConfirmIntervalMs(
+  bounds: { readonly configApplyMs: number; readonly keyRevocationMs: number },
+): number {
+  return Math.min(
+    MAX_CONFIRM_INTERVAL_MS,
+    bounds.configApplyMs / CONFIRMS_PER_APPLY_BOUND,
+    bounds.keyRevocationMs / CONFIRMS_PER_REVOCATION_BOUND,
+  );
+}
+
 /** Whether `self` watches the store: the first of its zone's processes in contact with it. */
 export function isStoreWatcher(
   self: { readonly process: core.ProcessId; readonly zone: core.ZoneName },
--- a/packages/policy/src/store_duty_test.ts
+++ b/packages/policy/src/store_duty_test.ts
@@ -33,3 +33,12 @@
   t.equal(duties.isStoreWatcher(CONTACTS[0]!, []), true, "a process alone watches");
   t.end();
 });
+
+tap.t.test("confirmations follow the tighter of the operators' bounds", (t) => {
+  const compute = (configApplyMs: number, keyRevocationMs: number) =>
+    duties.computeConfirmIntervalMs({ configApplyMs, keyRevocationMs });
+  t.equal(compute(2_000, 5_000), 1_000);
+  t.equal(compute(3_000, 2_000), 500);
+  t.equal(compute(60_000, 60_000), 2_000);
+  t.end();
+});
