Check the size of a request's head against the configuration; name process reports

Cause: found in reading: the head was bounded by a fixed 16 KB, whatever the configuration says; a caller that stalls within its body was never given up; the message between processes carries more than loads of engines.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,8 +34,10 @@
 const MIN_PROCESSES = 8;
 /** Period of the directory's own time-outs. */
 const EXPIRE_INTERVAL_MS = 200;
-/** Largest head of a request until the configuration states a bound. */
-const MAX_HEADER_BYTES = 16 * 1024;
+/** Largest head that is read at all; the configuration's bound is checked once it is read. */
+const MAX_HEADER_BYTES = 64 * 1024;
+/** A request that is not whole by then is given up; its caller has long left. */
+const REQUEST_TIMEOUT_MS = 30_000;
 /** Idle time of callers' connections until the configuration states one. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
@@ -221,7 +223,7 @@
         maxHeaderSize: MAX_HEADER_BYTES,
         headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
         keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
-        requestTimeout: 0,
+        requestTimeout: REQUEST_TIMEOUT_MS,
         connectionsCheckingInterval: 1_000,
       },
       (request, response) => {
@@ -250,7 +252,7 @@
   }
 
   #applyReport(
-    report: peers.EngineLoadsMessage,
+    report: peers.ProcessReportMessage,
     received: peerAgents.ReceivedReport,
   ): void {
     const { directory, config } = this.#context;
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -34,7 +34,7 @@
   readonly createReport: (now: number) => OwnReport;
   /** Called with what another process has told; `sentAt` is when it was asked. */
   readonly onReport: (
-    report: peers.EngineLoadsMessage,
+    report: peers.ProcessReportMessage,
     received: ReceivedReport,
   ) => void;
 }
@@ -188,7 +188,7 @@
   #sendReport(link: peers.PeerLink, report: OwnReport, now: number): void {
     if (link.peer === undefined) return;
     const answersSentAt = this.#lastReports.get(link.peer.process)?.sentAt;
-    link.send({ type: "engine_loads", ...report, sentAt: now, answersSentAt });
+    link.send({ type: "process_report", ...report, sentAt: now, answersSentAt });
   }
 
   /** Of two processes, the one whose name comes first opens the link. */
@@ -210,7 +210,7 @@
   }
 
   #onMessage(link: peers.PeerLink, message: peers.PeerMessage): void {
-    if (message.type !== "engine_loads" || link.peer === undefined) return;
+    if (message.type !== "process_report" || link.peer === undefined) return;
     const now = this.#options.clock.now();
     const { process, zone } = link.peer;
     this.#options.board.applyReport(process, message.loads, now);
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -33,6 +33,10 @@
 const CONFIRM_WAIT_MS = 600;
 /** After this long without an answer of the store, nothing waits for it any more. */
 const KNOWN_OUTAGE_MS = 300;
+/** Spaces, version and line end of a request line. */
+const REQUEST_LINE_REST_BYTES = 12;
+/** Colon, space and line end of a header line. */
+const HEADER_LINE_REST_BYTES = 4;
 /** Bytes of bodies that are held at once. */
 const MAX_HELD_BODY_BYTES = 48 * 1024 * 1024;
 
@@ -94,6 +98,11 @@
 
   async #serve(request: requests.OpenRequest, incoming: http.IncomingMessage): Promise<void> {
     if (request.id === "") return this.#refuse(request, 400, "no_request_id");
+    const limits = this.#options.context.config.inForce?.config.limits;
+    if (limits !== undefined && computeHeadBytes(request) > limits.maxHeaderBytes) {
+      incoming.resume();
+      return this.#refuse(request, 431, "head_too_large");
+    }
     const body = await this.#readBody(request, incoming);
     if (body === undefined || request.end !== undefined) return;
     request.body = body.length > 0 || incoming.headers["content-length"] !== undefined ||
@@ -259,6 +268,15 @@
   return request.arrivedAt + Math.min(deadlineMs, route.timeoutMs);
 }
 
+/** Size of the request line and the headers, as they came over the wire. */
+function computeHeadBytes(request: requests.OpenRequest): number {
+  let bytes = request.method.length + request.path.length + REQUEST_LINE_REST_BYTES;
+  for (let i = 0; i + 1 < request.headers.length; i += 2) {
+    bytes += request.headers[i]!.length + request.headers[i + 1]!.length + HEADER_LINE_REST_BYTES;
+  }
+  return bytes;
+}
+
 function readHost(headers: readonly string[]): string {
   for (let i = 0; i < headers.length; i += 2) {
     if (headers[i]!.toLowerCase() === "host") return headers[i + 1]!;
--- a/packages/peers/src/codec.ts
+++ b/packages/peers/src/codec.ts
@@ -22,7 +22,7 @@
   "endpoints",
   "capacity_events",
   "capacity_effects",
-  "engine_loads",
+  "process_report",
   "explain",
   "explained",
 ]);
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -66,9 +66,9 @@
   readonly effects: readonly policy.SchedulerEffect[];
 }
 
-/** What the sender itself runs at engines; replaces its earlier report. */
-export interface EngineLoadsMessage {
-  readonly type: "engine_loads";
+/** What the sender runs, has seen and knows of the store; replaces its earlier report. */
+export interface ProcessReportMessage {
+  readonly type: "process_report";
   readonly loads: readonly policy.EngineLoad[];
   /** Endpoints that the sender has seen leaving. */
   readonly notices: readonly policy.LeaveNotice[];
@@ -124,6 +124,6 @@
   | EndpointsMessage
   | CapacityEventsMessage
   | CapacityEffectsMessage
-  | EngineLoadsMessage
+  | ProcessReportMessage
   | ExplainMessage
   | ExplainedMessage;
