Use the bounded wait of core, and drop an unused reading of latencies

Cause: found in reading the whole change: the wait for a confirmation raced a timer of its own beside core.waitAtMost; nothing read CallPlacement.getLatencyMs; one comment named a parameter that has another name. Behaviour stays.

--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -180,16 +180,8 @@
   async #confirm(): Promise<boolean> {
     const { agent, context } = this.#options;
     if (agent.getOutageMs(context.clock.now()) > KNOWN_OUTAGE_MS) return false;
-    let timer: NodeJS.Timeout | undefined;
-    const late = new Promise<boolean>((resolve) => {
-      timer = setTimeout(() => resolve(false), CONFIRM_WAIT_MS);
-    });
-    const isConfirmed = await Promise.race([
-      this.#options.agent.confirm(REFUSAL_CONFIRM_AGE_MS),
-      late,
-    ]);
-    clearTimeout(timer);
-    return isConfirmed;
+    const confirming = agent.confirm(REFUSAL_CONFIRM_AGE_MS);
+    return (await core.waitAtMost(confirming, CONFIRM_WAIT_MS)) ?? false;
   }
 
   #findRouted(request: requests.OpenRequest): Found {
--- a/packages/policy/src/call_placement.ts
+++ b/packages/policy/src/call_placement.ts
@@ -100,11 +100,6 @@
     this.#learnt.delete(instance);
   }
 
-  /** The usual time to an answer. */
-  getLatencyMs(instance: core.InstanceId): number {
-    return this.#getLearnt(instance).latencyMs;
-  }
-
   #computeScore(candidate: core.EndpointRecord, now: number, zone: core.ZoneName): number {
     const learnt = this.#getLearnt(candidate.instance);
     const slots = Math.max(1, candidate.slots);
--- a/packages/policy/src/engine_placement.ts
+++ b/packages/policy/src/engine_placement.ts
@@ -120,7 +120,7 @@
     return best;
   }
 
-  /** What this process itself runs, by engine; `listMoving` gives what it moves away. */
+  /** What this process itself runs, by engine; `getMovingTokens` gives what it moves away. */
   listOwnLoads(
     getMovingTokens: (instance: core.InstanceId) => number,
   ): boards.EngineLoad[] {
