--- a/packages/core/src/routing_config.ts
+++ b/packages/core/src/routing_config.ts
@@ -52,6 +52,8 @@
   readonly name: ids.ServiceName;
   /** Connections that one endpoint accepts from all callers together. */
   readonly maxConnections: number;
+  /** Path that tells whether an endpoint is healthy and does not leave. */
+  readonly healthPath: string;
   /** Set where the endpoints are model engines. */
   readonly engine: EngineProfile | undefined;
 }
--- a/packages/gateway/src/answer_check_test.ts
+++ b/packages/gateway/src/answer_check_test.ts
@@ -7,6 +7,7 @@
   request: "r1",
   isNotRun: false,
   isMisdirected: false,
+  isClosing: false,
   isGenuine: true,
   isEncoded: false,
 };
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -8,12 +8,14 @@
 import type * as contexts from "./gateway_context.ts";
 import type * as requests from "./open_request.ts";
 import * as problems from "./problems.ts";
+import * as repeats from "./send_repeats.ts";
 
 /** A whole answer of an endpoint. */
 interface WholeAnswer {
   readonly status: number;
   readonly headers: codec.RawHeaders;
   readonly body: Buffer;
+  readonly isClosing: boolean;
 }
 
 /** How one send ended. */
@@ -61,8 +63,7 @@
       lastAnswer: undefined,
       lastReason: "no_endpoint",
     };
-    const budget = this.#context.getBudget(routed.service);
-    budget.recordRequest(this.#context.clock.now());
+    this.#context.getBudget(routed.service).recordRequest(this.#context.clock.now());
     for (;;) {
       const endpoint = this.#chooseEndpoint(routed, history);
       if (endpoint === undefined) break;
@@ -70,26 +71,10 @@
       if (request.end !== undefined) return;
       if (result.type === "answer") return this.#passOn(request, routed, result.answer);
       this.#recordResult(history, result);
-      const now = this.#context.clock.now();
-      const next = policy.chooseNextSend({
-        kind: routed.route.kind,
-        outcome: result.outcome,
-        ranSends: history.ranSends,
-        refusedSends: history.refusedSends,
-        maxAttempts: routed.route.maxAttempts,
-        answerBy: request.answerBy,
-      }, now);
-      const mayRepeat = next.type === "again" &&
-        budget.takeRepeat(now, this.#context.getProcessCount());
-      this.#context.logger.write("send_ended", {
-        request: request.id,
-        instance: endpoint.instance,
-        outcome: result.outcome,
-        reason: result.reason,
-        next: next.type === "stop" ? next.reason : mayRepeat ? "again" : "budget_exhausted",
-      });
-      if (!mayRepeat) break;
-      this.#context.metrics.recordRetry("call");
+      const { instance } = endpoint;
+      const { outcome, reason } = result;
+      const send = { ...history, instance, outcome, reason };
+      if (!repeats.takeRepeat(this.#context, request, { routed, send })) break;
     }
     this.#answerFailure(request, routed, history);
   }
@@ -135,6 +120,9 @@
           const report = result.type === "answer"
             ? result.answer.status >= SERVER_ERROR_STATUS ? "failed" as const : "answered" as const
             : result.report;
+          if (result.type === "answer" && result.answer.isClosing) {
+            this.#context.recordClosing(endpoint);
+          }
           const now = this.#context.clock.now();
           this.#context.placement.recordEnd(endpoint.instance, report, { startedAt, now });
           if (result.type === "no_answer" && result.reason === "misdirected") {
@@ -290,6 +278,7 @@
         status: this.#status,
         headers: this.#headers,
         body: Buffer.concat(this.#chunks),
+        isClosing: this.#answerHead?.isClosing ?? false,
       },
     });
     return true;
--- a/packages/gateway/src/codec.ts
+++ b/packages/gateway/src/codec.ts
@@ -61,6 +61,8 @@
   readonly isMisdirected: boolean;
   /** Whether the endpoint vouches for the answer. */
   readonly isGenuine: boolean;
+  /** The endpoint closes the connection, as one that leaves does. */
+  readonly isClosing: boolean;
   /** Whether the body is encoded, and so not the endpoint's own. */
   readonly isEncoded: boolean;
 }
--- a/packages/gateway/src/engine_control.ts
+++ b/packages/gateway/src/engine_control.ts
@@ -1,4 +1,4 @@
-/** Calls to model engines besides the requests that are forwarded to them. */
+/** Calls to endpoints besides the requests that are forwarded to them. */
 
 import type * as core from "@peridotvale/core";
 import type * as neverthrow from "neverthrow";
@@ -34,7 +34,15 @@
   readonly isLeaving: boolean;
 }
 
-/** Moves the memory of running generations. */
+/** What an endpoint answers on its health path. */
+export interface EndpointHealth {
+  /** Whether it is healthy and does not leave. */
+  readonly isHealthy: boolean;
+  /** The instance that has the address now. */
+  readonly instance: core.InstanceId | undefined;
+}
+
+/** Reads the state of endpoints and moves the memory of running generations. */
 export interface EngineControl {
   /** Copies what the target does not have yet; the result comes when the copy is whole. */
   copyMemory(
@@ -43,6 +51,8 @@
   ): Promise<neverthrow.Result<MemoryCopy, CopyError>>;
   /** Asks an engine for its state; undefined if it gave none. Each question has its price. */
   readState(endpoint: core.EndpointId): Promise<EngineState | undefined>;
+  /** Asks an endpoint for its health; undefined if it gave none. */
+  readHealth(endpoint: core.EndpointId, path: string): Promise<EndpointHealth | undefined>;
   /** Frees a copy that will not be used. */
   releaseMemory(source: core.EndpointId, handle: string): Promise<void>;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -194,7 +194,8 @@
       board,
       engineControl: this.#options.engineControl,
       getBudget: (service) => this.#getBudget(service),
-      getProcessCount: () => Math.max(MIN_PROCESSES, board.processCount + 1),
+      getProcessCount: () => Math.max(MIN_PROCESSES, this.#peers.announcedCount + 1),
+      recordClosing: (endpoint) => this.#leaveWatcher.recordClosing(endpoint),
       publishChanges: (changes) => this.#publishChanges(changes),
       getEngineProfile: (service) => config.inForce?.config.services.get(service)?.engine,
       listEndpoints: (service) => this.#listConnectable(service),
@@ -288,6 +289,7 @@
       if (change.type === "added") continue;
       this.#context.pool.closeIdle(record.endpoint);
       this.#context.placement.dropInstance(record.instance);
+      this.#context.engines.dropInstance(record.instance);
       void this.#handOvers.moveRuns(record);
     }
   }
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -32,6 +32,8 @@
   getBudget(service: core.ServiceName): policy.WindowBudget;
   /** Processes that share the bounds on repeats, this one included. */
   getProcessCount(): number;
+  /** Records an answer that closes its connection. */
+  recordClosing(endpoint: core.EndpointRecord): void;
   /** Logs changes of the directory and tells those who follow them. */
   publishChanges(changes: readonly policy.InstanceChange[]): void;
 }
--- a/packages/gateway/src/hand_over_agent.ts
+++ b/packages/gateway/src/hand_over_agent.ts
@@ -122,7 +122,7 @@
 
   #isOwnTurn(source: core.EndpointRecord): boolean {
     const { context } = this.#options;
-    const others = context.board.listMoving(source.instance).map((one) => one.process);
+    const others = context.board.listMovingProcesses(source.instance);
     return policy.isOwnTurn(context.settings.process, source.instance, others);
   }
 
--- a/packages/gateway/src/leave_watcher.ts
+++ b/packages/gateway/src/leave_watcher.ts
@@ -1,6 +1,8 @@
 /**
- * Asks engines whether they leave while the store does not say: the store is away,
- * turns this machine away, or has lost their entries in an outage. One process asks each engine; the others hear of it.
+ * Asks endpoints whether they leave while the store does not say: the store is away,
+ * turns this machine away, or has lost their entries in an outage. One process asks
+ * each engine that runs generations; other endpoints are asked when their answers
+ * close the connection. The other processes hear of what is found.
  */
 
 import type * as core from "@peridotvale/core";
@@ -19,9 +21,13 @@
 /** Engines are asked this often; a reclaim gives less than 2 s of notice. */
 const ASK_INTERVAL_MS = 200;
 
-/** Watches the engines that run this process's generations. */
+/** An endpoint whose answers close their connections is asked at most this often. */
+const HEALTH_INTERVAL_MS = 500;
+
+/** Watches the endpoints that this process uses. */
 export class LeaveWatcher {
   readonly #options: LeaveWatcherOptions;
+  readonly #healthAskedAt = new Map<core.InstanceId, number>();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: LeaveWatcherOptions) {
@@ -36,9 +42,39 @@
     clearInterval(this.#timer);
   }
 
+  /** Records an answer that closes its connection, as all answers of a leaving endpoint do. */
+  recordClosing(endpoint: core.EndpointRecord): void {
+    const { context, isStoreLost } = this.#options;
+    const { instance } = endpoint;
+    const now = context.clock.now();
+    if (!isStoreLost(now) && !context.directory.isEntryMissing(instance)) return;
+    const askedAt = this.#healthAskedAt.get(instance) ?? -Infinity;
+    if (now - askedAt < HEALTH_INTERVAL_MS || !context.directory.isUsable(instance)) return;
+    this.#healthAskedAt.set(instance, now);
+    void this.#checkHealth(endpoint);
+  }
+
+  async #checkHealth(endpoint: core.EndpointRecord): Promise<void> {
+    const { context } = this.#options;
+    const path = context.config.inForce?.config.services.get(endpoint.service)?.healthPath;
+    if (path === undefined) return;
+    const health = await context.engineControl.readHealth(endpoint.endpoint, path);
+    if (health === undefined) return;
+    const now = context.clock.now();
+    const { instance } = endpoint;
+    if (health.instance !== undefined && health.instance !== instance) {
+      return context.publishChanges(context.directory.recordMisdirected(instance, now));
+    }
+    if (health.isHealthy) return;
+    context.publishChanges(context.directory.recordSeenLeaving(instance, now));
+  }
+
   #checkEngines(): void {
     const { context, listRelays, isStoreLost } = this.#options;
     const isLost = isStoreLost(context.clock.now());
+    for (const instance of this.#healthAskedAt.keys()) {
+      if (!context.directory.isUsable(instance)) this.#healthAskedAt.delete(instance);
+    }
     const asked = new Set<core.InstanceId>();
     for (const { endpoint } of listRelays()) {
       if (asked.has(endpoint.instance)) continue;
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -106,6 +106,11 @@
     return `${host}:${port}`;
   }
 
+  /** Other processes that are announced, linked or not. */
+  get announcedCount(): number {
+    return this.#known.size;
+  }
+
   async start(): Promise<void> {
     await this.#mesh.start();
     this.#timer = setInterval(() => this.#runTick(), REPORT_INTERVAL_MS);
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -6,6 +6,7 @@
 import * as relays from "./generation_relay.ts";
 import type * as requests from "./open_request.ts";
 import * as problems from "./problems.ts";
+import * as repeats from "./send_repeats.ts";
 
 /** Options of {@linkcode StreamForwarder}. */
 export interface StreamForwarderOptions {
@@ -30,8 +31,6 @@
 };
 /** While requests wait, room is looked for this often; the others' reports come every 100 ms. */
 const PLACE_INTERVAL_MS = 25;
-/** Sends of one request that engines may refuse, before it is refused for now. */
-const MAX_REFUSALS = 3;
 
 /** Sends generations to engines. */
 export class StreamForwarder {
@@ -60,8 +59,7 @@
   async serve(request: requests.OpenRequest, routed: requests.RoutedRequest): Promise<void> {
     const { context } = this.#options;
     const size = request.head.generation ?? UNDECLARED_SIZE;
-    const budget = context.getBudget(routed.service);
-    budget.recordRequest(context.clock.now());
+    context.getBudget(routed.service).recordRequest(context.clock.now());
     const waiting = createWaiting(request, routed, size);
     const tried = new Set<core.InstanceId>();
     let refusals = 0;
@@ -76,17 +74,11 @@
       if (end.outcome !== "not_run") return this.#answerFailure(request, end);
       refusals += 1;
       tried.add(endpoint.instance);
-      const mayRepeat = refusals < MAX_REFUSALS &&
-        budget.takeRepeat(context.clock.now(), context.getProcessCount());
-      context.logger.write("send_ended", {
-        request: request.id,
-        instance: endpoint.instance,
-        outcome: end.outcome,
-        reason: end.reason,
-        next: mayRepeat ? "again" : "stop",
-      });
-      if (!mayRepeat) return this.#refuse(request, end.reason);
-      context.metrics.recordRetry("generation");
+      const { instance } = endpoint;
+      const send = { ...end, instance, ranSends: 0, refusedSends: refusals };
+      if (!repeats.takeRepeat(context, request, { routed, send })) {
+        return this.#refuse(request, end.reason);
+      }
     }
   }
 
--- a/packages/policy/src/call_placement.ts
+++ b/packages/policy/src/call_placement.ts
@@ -11,7 +11,6 @@
 export type SendReport = "answered" | "failed" | "refused" | "unreachable" | "silent";
 
 interface Learnt {
-  inFlight: number;
   /** Smoothed time to an answer. */
   latencyMs: number;
   /** Smoothed share of sends that failed. */
@@ -21,12 +20,18 @@
   /** When the sends that are open now began, oldest first. */
   readonly openSince: number[];
   lastHeardAt: number;
+  lastEndAt: number;
 }
 
 /** Weight of a new observation; about the last ten sends count. */
 const SMOOTHING = 0.15;
-/** Latency assumed of an endpoint not heard of yet: about a mean call's work. */
+/** Latency assumed where no endpoint has been heard of: about a mean call's work. */
 const INITIAL_LATENCY_MS = 60;
+/**
+ * What was learnt of an endpoint loses its weight with this time constant, so that one
+ * that was slow or failed is tried again; most faults of endpoints last some seconds.
+ */
+const MEMORY_MS = 3_000;
 /** Least sends between which a failing endpoint is left alone. */
 const AVOID_UNREACHABLE_MS = 1_000;
 const AVOID_REFUSING_MS = 150;
@@ -54,9 +59,10 @@
   ): core.EndpointRecord | undefined {
     let best: core.EndpointRecord | undefined;
     let bestScore = Infinity;
+    const usualMs = this.#computeUsualLatency(candidates, now);
     for (const candidate of candidates) {
       if (options.avoid.has(candidate.instance)) continue;
-      const score = this.#computeScore(candidate, now, options.zone) *
+      const score = this.#computeScore(candidate, { now, zone: options.zone, usualMs }) *
         (1 + 0.05 * options.random.next());
       if (score >= bestScore) continue;
       best = candidate;
@@ -68,7 +74,6 @@
   /** Records the start of a send. */
   recordStart(instance: core.InstanceId, now: number): void {
     const learnt = this.#getLearnt(instance);
-    learnt.inFlight += 1;
     learnt.openSince.push(now);
   }
 
@@ -78,17 +83,22 @@
     report: SendReport,
     options: { readonly startedAt: number; readonly now: number },
   ): void {
-    const learnt = this.#getLearnt(instance);
+    const learnt = this.#learnt.get(instance);
+    // The instance has left meanwhile.
+    if (learnt === undefined) return;
     const { startedAt, now } = options;
-    learnt.inFlight -= 1;
     const index = learnt.openSince.indexOf(startedAt);
     if (index >= 0) learnt.openSince.splice(index, 1);
     if (report === "answered" || report === "failed") {
+      // The older the last observation, the more the new one counts.
+      const weight = Math.max(SMOOTHING, 1 - computeWeight(learnt.lastHeardAt, now));
+      learnt.latencyMs += weight * (now - startedAt - learnt.latencyMs);
       learnt.lastHeardAt = now;
-      learnt.latencyMs += SMOOTHING * (now - startedAt - learnt.latencyMs);
     }
     const hasFailed = report === "answered" || report === "refused" ? 0 : 1;
+    learnt.failureShare *= computeWeight(learnt.lastEndAt, now);
     learnt.failureShare += SMOOTHING * (hasFailed - learnt.failureShare);
+    learnt.lastEndAt = now;
     if (report === "unreachable" || report === "silent") {
       learnt.avoidUntil = now + AVOID_UNREACHABLE_MS;
     }
@@ -100,16 +110,37 @@
     this.#learnt.delete(instance);
   }
 
-  #computeScore(candidate: core.EndpointRecord, now: number, zone: core.ZoneName): number {
+  #computeScore(
+    candidate: core.EndpointRecord,
+    options: { readonly now: number; readonly zone: core.ZoneName; readonly usualMs: number },
+  ): number {
+    const { now, zone, usualMs } = options;
     const learnt = this.#getLearnt(candidate.instance);
     const slots = Math.max(1, candidate.slots);
-    const load = (learnt.inFlight + 1) / slots;
-    let score = learnt.latencyMs * load * (1 + FAILURE_WEIGHT * learnt.failureShare);
+    const load = (learnt.openSince.length + 1) / slots;
+    const latencyMs = usualMs +
+      computeWeight(learnt.lastHeardAt, now) * (learnt.latencyMs - usualMs);
+    const failureShare = learnt.failureShare * computeWeight(learnt.lastEndAt, now);
+    let score = latencyMs * load * (1 + FAILURE_WEIGHT * failureShare);
     if (candidate.zone !== zone) score *= REMOTE_PENALTY;
     if (now < learnt.avoidUntil || this.#isSilent(learnt, now)) score += 1e6;
     return score;
   }
 
+  /** Mean latency of the endpoints, the more recent the more it weighs. */
+  #computeUsualLatency(candidates: readonly core.EndpointRecord[], now: number): number {
+    let sumMs = 0;
+    let weights = 0;
+    for (const { instance } of candidates) {
+      const learnt = this.#learnt.get(instance);
+      if (learnt === undefined) continue;
+      const weight = computeWeight(learnt.lastHeardAt, now);
+      sumMs += weight * learnt.latencyMs;
+      weights += weight;
+    }
+    return weights === 0 ? INITIAL_LATENCY_MS : sumMs / weights;
+  }
+
   #isSilent(learnt: Learnt, now: number): boolean {
     const oldest = learnt.openSince[0];
     if (oldest === undefined || oldest < learnt.lastHeardAt) return false;
@@ -120,15 +151,20 @@
     let learnt = this.#learnt.get(instance);
     if (learnt === undefined) {
       learnt = {
-        inFlight: 0,
-        latencyMs: INITIAL_LATENCY_MS,
+        latencyMs: 0,
         failureShare: 0,
         avoidUntil: -Infinity,
         openSince: [],
         lastHeardAt: -Infinity,
+        lastEndAt: -Infinity,
       };
       this.#learnt.set(instance, learnt);
     }
     return learnt;
   }
 }
+
+/** Weight of what was learnt at `learntAt`, from 1 down to 0. */
+function computeWeight(learntAt: number, now: number): number {
+  return Math.exp(-(now - learntAt) / MEMORY_MS);
+}
--- /dev/null
+++ b/packages/policy/src/call_placement_test.ts
@@ -0,0 +1,145 @@
+import * as core from "@peridotvale/core";
+import * as tap from "tap";
+import * as placements from "./call_placement.ts";
+
+const ZONE = core.createId<core.ZoneName>("a");
+const NO_ONE: ReadonlySet<core.InstanceId> = new Set();
+
+function createEndpoint(id: string, zone = "a"): core.EndpointRecord {
+  return {
+    instance: core.createId<core.InstanceId>(id),
+    endpoint: core.createId<core.EndpointId>(`${id}:80`),
+    service: core.createId<core.ServiceName>("desk"),
+    zone: core.createId<core.ZoneName>(zone),
+    isDraining: false,
+    slots: 6,
+    startedAt: undefined,
+    revision: 1,
+    coldLeftMs: 0,
+  };
+}
+
+/** Sends one call after another for a while, and counts those to each endpoint. */
+class Caller {
+  readonly placement = new placements.CallPlacement();
+  readonly #random = new core.SeededRandom(7);
+  now = 0;
+
+  run(
+    endpoints: readonly core.EndpointRecord[],
+    durationMs: number,
+    answer: (endpoint: core.EndpointRecord) => { report: placements.SendReport; ms: number },
+  ): Map<string, number> {
+    const sends = new Map<string, number>(endpoints.map(({ instance }) => [instance, 0]));
+    const endAt = this.now + durationMs;
+    while (this.now < endAt) {
+      const chosen = this.placement.chooseEndpoint(endpoints, this.now, {
+        zone: ZONE,
+        random: this.#random,
+        avoid: NO_ONE,
+      })!;
+      sends.set(chosen.instance, sends.get(chosen.instance)! + 1);
+      const startedAt = this.now;
+      this.placement.recordStart(chosen.instance, startedAt);
+      const { report, ms } = answer(chosen);
+      this.now += ms;
+      this.placement.recordEnd(chosen.instance, report, { startedAt, now: this.now });
+    }
+    return sends;
+  }
+}
+
+tap.t.test("an endpoint that has just come is used, however quick the others are", (t) => {
+  const caller = new Caller();
+  const first = createEndpoint("first");
+  const answer = () => ({ report: "answered" as const, ms: 1 });
+  caller.run([first], 500, answer);
+  const sends = caller.run([first, createEndpoint("second")], 500, answer);
+  t.ok(sends.get("second")! > 100, `${sends.get("second")} of 500`);
+  t.end();
+});
+
+tap.t.test("an endpoint that was slow for a while is used again", (t) => {
+  const caller = new Caller();
+  const endpoints = [createEndpoint("steady"), createEndpoint("slow")];
+  let slowMs = 400;
+  const answer = ({ instance }: core.EndpointRecord) => ({
+    report: "answered" as const,
+    ms: instance === "slow" ? slowMs : 10,
+  });
+  const during = caller.run(endpoints, 10_000, answer);
+  t.ok(during.get("slow")! * 20 < during.get("steady")!, "it gets little while it is slow");
+  slowMs = 10;
+  caller.run(endpoints, 15_000, answer);
+  const after = caller.run(endpoints, 5_000, answer);
+  t.ok(after.get("slow")! > 150, `${after.get("slow")} of 500 once it is quick`);
+  t.end();
+});
+
+tap.t.test("an endpoint that fails gets less, and as much as others once it works", (t) => {
+  const caller = new Caller();
+  const endpoints = [createEndpoint("steady"), createEndpoint("failing")];
+  let isFailing = true;
+  const answer = ({ instance }: core.EndpointRecord) => ({
+    report: instance === "failing" && isFailing ? "failed" as const : "answered" as const,
+    ms: 10,
+  });
+  const during = caller.run(endpoints, 5_000, answer);
+  t.ok(during.get("failing")! < 25, `${during.get("failing")} of 500 while it fails`);
+  isFailing = false;
+  caller.run(endpoints, 15_000, answer);
+  const after = caller.run(endpoints, 5_000, answer);
+  t.ok(after.get("failing")! > 150, `${after.get("failing")} of 500 once it works`);
+  t.end();
+});
+
+tap.t.test("an endpoint that does not answer any more gets nothing while others do", (t) => {
+  const placement = new placements.CallPlacement();
+  const endpoints = [createEndpoint("mute"), createEndpoint("other")];
+  const options = { zone: ZONE, random: new core.SeededRandom(7), avoid: NO_ONE };
+  for (const { instance } of endpoints) {
+    placement.recordStart(instance, 0);
+    placement.recordEnd(instance, "answered", { startedAt: 0, now: 20 });
+  }
+  placement.recordStart(endpoints[0]!.instance, 100);
+  for (let i = 0; i < 5; i += 1) placement.recordStart(endpoints[1]!.instance, 600);
+  t.equal(placement.chooseEndpoint(endpoints, 600, options)?.instance, "other");
+  t.end();
+});
+
+tap.t.test("the own zone comes first until it is about twice as loaded", (t) => {
+  const placement = new placements.CallPlacement();
+  const endpoints = [createEndpoint("near"), createEndpoint("far", "b")];
+  const options = { zone: ZONE, random: new core.SeededRandom(7), avoid: NO_ONE };
+  const chosen: string[] = [];
+  for (let i = 0; i < 9; i += 1) {
+    const endpoint = placement.chooseEndpoint(endpoints, 0, options)!;
+    placement.recordStart(endpoint.instance, 0);
+    chosen.push(endpoint.instance);
+  }
+  t.equal(chosen[0], "near");
+  t.equal(chosen.filter((instance) => instance === "near").length, 6);
+  t.end();
+});
+
+tap.t.test("sends to an instance that left do not count once it is back", (t) => {
+  const placement = new placements.CallPlacement();
+  const endpoints = [createEndpoint("back"), createEndpoint("other")];
+  const options = { zone: ZONE, random: new core.SeededRandom(7), avoid: NO_ONE };
+  const [back, other] = endpoints.map(({ instance }) => instance);
+  for (let i = 0; i < 4; i += 1) placement.recordStart(back!, 0);
+  placement.dropInstance(back!);
+  for (let i = 0; i < 4; i += 1) {
+    placement.recordEnd(back!, "answered", { startedAt: 0, now: 50 });
+  }
+  placement.recordStart(back!, 100);
+  placement.recordStart(other!, 100);
+  const counts = new Map([[back, 1], [other, 1]]);
+  for (let i = 0; i < 8; i += 1) {
+    const { instance } = placement.chooseEndpoint(endpoints, 100, options)!;
+    placement.recordStart(instance, 100);
+    counts.set(instance, counts.get(instance)! + 1);
+  }
+  t.same([...counts.values()], [5, 5]);
+  t.end();
+});
--- a/packages/policy/src/engine_placement.ts
+++ b/packages/policy/src/engine_placement.ts
@@ -30,6 +30,8 @@
 interface Engine {
   readonly runs: Map<core.RequestId, Run>;
   avoidUntil: number;
+  /** Whether it gets no new work; it is forgotten once its runs have ended. */
+  hasLeft: boolean;
   hasGenerated: boolean;
   /** Smoothed time of one token of a run. */
   tokenMs: number;
@@ -134,8 +136,9 @@
   }
 
   recordStart(instance: core.InstanceId, request: core.RequestId, size: GenerationSize): void {
-    const run = { size, generatedTokens: 0, hasStarted: false };
-    this.#getEngine(instance).runs.set(request, run);
+    const engine = this.#getEngine(instance);
+    engine.hasLeft = false;
+    engine.runs.set(request, { size, generatedTokens: 0, hasStarted: false });
   }
 
   /** Records tokens of a run; `tokenMs` is the time that each took, if known. */
@@ -155,14 +158,16 @@
   }
 
   recordEnd(instance: core.InstanceId, request: core.RequestId): void {
-    this.#getEngine(instance).runs.delete(request);
+    const engine = this.#engines.get(instance);
+    engine?.runs.delete(request);
+    if (engine !== undefined && engine.hasLeft) this.dropInstance(instance);
   }
 
   /** Time of one token at the quickest engine that has been seen to generate; 0 if none has. */
   getFastestTokenMs(): number {
     let fastest = Infinity;
     for (const engine of this.#engines.values()) {
-      if (engine.hasGenerated) fastest = Math.min(fastest, engine.tokenMs);
+      if (engine.hasGenerated && !engine.hasLeft) fastest = Math.min(fastest, engine.tokenMs);
     }
     return Number.isFinite(fastest) ? fastest : 0;
   }
@@ -172,9 +177,12 @@
     this.#getEngine(instance).avoidUntil = now + AVOID_MS;
   }
 
-  /** Forgets an instance that has left. */
+  /** Forgets an instance that gets no new work, as soon as its runs have ended. */
   dropInstance(instance: core.InstanceId): void {
-    this.#engines.delete(instance);
+    const engine = this.#engines.get(instance);
+    if (engine === undefined) return;
+    engine.hasLeft = true;
+    if (engine.runs.size === 0) this.#engines.delete(instance);
   }
 
   #getLoad(instance: core.InstanceId): boards.LoadSum {
@@ -194,6 +202,7 @@
       engine = {
         runs: new Map(),
         avoidUntil: -Infinity,
+        hasLeft: false,
         hasGenerated: false,
         tokenMs: INITIAL_TOKEN_MS,
       };
--- a/packages/policy/src/engine_placement_test.ts
+++ b/packages/policy/src/engine_placement_test.ts
@@ -78,3 +78,22 @@
   t.not(placement.chooseEngine([candidate!], DRAFT, createOptions(1_000)), undefined);
   t.end();
 });
+
+tap.t.test("an engine that leaves is remembered until its last run has ended", (t) => {
+  const placement = new placements.EnginePlacement(new boards.LoadBoard());
+  const [quick, slow] = createCandidates(2).map((one) => one.record.instance);
+  const requests = ["one", "two"].map((id) => core.createId<core.RequestId>(id));
+  placement.recordStart(quick!, requests[0]!, DRAFT);
+  placement.recordStart(slow!, requests[1]!, DRAFT);
+  for (let i = 0; i < 100; i += 1) {
+    placement.recordProgress(quick!, requests[0]!, { generatedTokens: 4 * i, tokenMs: 2 });
+    placement.recordProgress(slow!, requests[1]!, { generatedTokens: 4 * i, tokenMs: 20 });
+  }
+  t.ok(placement.getFastestTokenMs() < 3);
+  placement.dropInstance(quick!);
+  t.ok(placement.getFastestTokenMs() > 15, "the speed of one that left says nothing");
+  t.equal(placement.listOwnLoads(() => 0).length, 2, "its run still counts there");
+  placement.recordEnd(quick!, requests[0]!);
+  t.equal(placement.listOwnLoads(() => 0).length, 1);
+  t.end();
+});
--- a/packages/policy/src/load_board.ts
+++ b/packages/policy/src/load_board.ts
@@ -88,12 +88,11 @@
     return busy;
   }
 
-  /** Tokens that each process still wants to move away from `instance`. */
-  listMoving(instance: core.InstanceId): { process: core.ProcessId; tokens: number }[] {
-    const moving: { process: core.ProcessId; tokens: number }[] = [];
+  /** Processes that still want to move generations away from `instance`. */
+  listMovingProcesses(instance: core.InstanceId): core.ProcessId[] {
+    const moving: core.ProcessId[] = [];
     for (const [process, report] of this.#reports) {
-      const tokens = report.loads.get(instance)?.movingTokens ?? 0;
-      if (tokens > 0) moving.push({ process, tokens });
+      if ((report.loads.get(instance)?.movingTokens ?? 0) > 0) moving.push(process);
     }
     return moving;
   }
--- a/packages/policy/src/window_budget_test.ts
+++ b/packages/policy/src/window_budget_test.ts
@@ -35,3 +35,10 @@
   t.equal(budget.takeRepeat(10_050, 1), true);
   t.end();
 });
+
+tap.t.test("a process that never repeats keeps the times of one window only", (t) => {
+  const budget = new budgets.WindowBudget(BOUNDS);
+  for (let now = 0; now < 20 * BOUNDS.windowMs; now += 10) budget.recordRequest(now);
+  t.ok(budget.recordedCount <= BOUNDS.windowMs / 10, `${budget.recordedCount} times kept`);
+  t.end();
+});
