--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -240,7 +240,7 @@
     const { engines, directory, config } = this.#context;
     const release = config.inForce?.config.release;
     return {
-      loads: engines.listOwnLoads((instance) => this.#handOvers.getMovingTokens(instance)),
+      loads: engines.listOwnLoads((instance) => this.#handOvers.getMoveValue(instance)),
       notices: directory.listNotices(now),
       store: release === undefined ? undefined : {
         release,
--- a/packages/gateway/src/hand_over_agent.ts
+++ b/packages/gateway/src/hand_over_agent.ts
@@ -17,6 +17,7 @@
 interface Evacuation {
   readonly source: core.EndpointRecord;
   readonly profile: core.EngineProfile;
+  isCopying: boolean;
   readonly failedMoves: Map<core.RequestId, number>;
   readonly fullTargets: Map<core.RequestId, Set<core.InstanceId>>;
 }
@@ -41,15 +42,15 @@
     this.#options = options;
   }
 
-  /** Tokens that this process still wants to move away from an engine. */
-  getMovingTokens(instance: core.InstanceId): number {
+  /** Value of the generation that this process wants to move away from an engine next. */
+  getMoveValue(instance: core.InstanceId): number {
     const evacuation = this.#evacuations.get(instance);
     if (evacuation === undefined) return 0;
-    let tokens = 0;
-    for (const run of this.#listRuns(evacuation)) {
-      if (run.hasStarted && policy.isWorthMoving(run)) tokens += run.heldTokens;
-    }
-    return tokens;
+    // A copy under way keeps its turn.
+    if (evacuation.isCopying) return Infinity;
+    const now = this.#options.context.clock.now();
+    const next = policy.chooseNextMove(this.#listRuns(evacuation), now);
+    return next === undefined ? 0 : policy.computeMoveValue(next, now);
   }
 
   /** Moves the generations of an engine that leaves. */
@@ -61,6 +62,7 @@
     const evacuation: Evacuation = {
       source,
       profile,
+      isCopying: false,
       failedMoves: new Map(),
       fullTargets: new Map(),
     };
@@ -72,14 +74,20 @@
     while (context.clock.now() < endAt) {
       const runs = this.#listRuns(evacuation);
       if (runs.length === 0) break;
-      const next = policy.chooseNextMove(runs);
-      const isTurn = this.#isOwnTurn(source) ||
-        context.clock.now() - waitingSince > MAX_TURN_WAIT_MS;
-      if (next === undefined || !isTurn) {
+      const now = context.clock.now();
+      const next = policy.chooseNextMove(runs, now);
+      const isTurn = next !== undefined &&
+        (this.#isOwnTurn(source, policy.computeMoveValue(next, now)) ||
+          now - waitingSince > MAX_TURN_WAIT_MS);
+      if (!isTurn) {
         await core.waitFor(POLL_MS);
         continue;
       }
+      evacuation.isCopying = true;
+      this.#options.reportNow();
       await this.#move(evacuation, next);
+      evacuation.isCopying = false;
+      this.#options.reportNow();
       waitingSince = context.clock.now();
     }
     this.#evacuations.delete(source.instance);
@@ -114,16 +122,16 @@
       });
       return;
     }
-    if (await relay.moveTo(target)) return this.#options.reportNow();
+    if (await relay.moveTo(target)) return;
     evacuation.failedMoves.set(run.request, failures + 1);
     full.add(target.instance);
     evacuation.fullTargets.set(run.request, full);
   }
 
-  #isOwnTurn(source: core.EndpointRecord): boolean {
+  #isOwnTurn(source: core.EndpointRecord, value: number): boolean {
     const { context } = this.#options;
-    const others = context.board.listMovingProcesses(source.instance);
-    return policy.isOwnTurn(context.settings.process, source.instance, others);
+    const others = context.board.listMoveClaims(source.instance);
+    return policy.isOwnTurn({ process: context.settings.process, value }, source.instance, others);
   }
 
   #findRelay(request: core.RequestId): relays.GenerationRelay | undefined {
@@ -145,7 +153,10 @@
         request: relay.request.id,
         hasStarted: relay.deliveredEvents > 0,
         heldTokens,
+        promptTokens: relay.size.promptTokens,
         tokensLeft: total - heldTokens,
+        tokenMs: this.#options.context.engines.getTokenMs(source.instance),
+        answerBy: relay.request.answerBy,
         failedMoves: evacuation.failedMoves.get(relay.request.id) ?? 0,
         isMoving: !relay.canHandOver,
       });
--- a/packages/gateway/src/leave_watcher.ts
+++ b/packages/gateway/src/leave_watcher.ts
@@ -80,8 +80,10 @@
       if (asked.has(endpoint.instance)) continue;
       asked.add(endpoint.instance);
       if (!isLost && !context.directory.isEntryMissing(endpoint.instance)) continue;
-      const others = context.board.listBusyProcesses(endpoint.instance);
-      const isTurn = policy.isOwnTurn(context.settings.process, endpoint.instance, others);
+      const others = context.board.listBusyProcesses(endpoint.instance)
+        .map((process) => ({ process, value: 0 }));
+      const own = { process: context.settings.process, value: 0 };
+      const isTurn = policy.isOwnTurn(own, endpoint.instance, others);
       if (isTurn && context.directory.isUsable(endpoint.instance)) void this.#checkEngine(endpoint);
     }
   }
--- a/packages/policy/src/engine_placement.ts
+++ b/packages/policy/src/engine_placement.ts
@@ -122,15 +122,15 @@
     return best;
   }
 
-  /** What this process itself runs, by engine; `getMovingTokens` gives what it moves away. */
+  /** What this process itself runs, by engine; `getMoveValue` gives what it moves away next. */
   listOwnLoads(
-    getMovingTokens: (instance: core.InstanceId) => number,
+    getMoveValue: (instance: core.InstanceId) => number,
   ): boards.EngineLoad[] {
     const loads: boards.EngineLoad[] = [];
     for (const [instance, engine] of this.#engines) {
-      const movingTokens = getMovingTokens(instance);
-      if (engine.runs.size === 0 && movingTokens === 0) continue;
-      loads.push({ instance, ...computeRunSums(engine.runs.values()), movingTokens });
+      const moveValue = getMoveValue(instance);
+      if (engine.runs.size === 0 && moveValue === 0) continue;
+      loads.push({ instance, ...computeRunSums(engine.runs.values()), moveValue });
     }
     return loads;
   }
@@ -163,6 +163,11 @@
     if (engine !== undefined && engine.hasLeft) this.dropInstance(instance);
   }
 
+  /** Time of one token of a run at `instance`. */
+  getTokenMs(instance: core.InstanceId): number {
+    return this.#engines.get(instance)?.tokenMs ?? INITIAL_TOKEN_MS;
+  }
+
   /** Time of one token at the quickest engine that has been seen to generate; 0 if none has. */
   getFastestTokenMs(): number {
     let fastest = Infinity;
@@ -192,7 +197,6 @@
       runs: own.runs + others.runs,
       reservedTokens: own.reservedTokens + others.reservedTokens,
       unreadPromptTokens: own.unreadPromptTokens + others.unreadPromptTokens,
-      movingTokens: others.movingTokens,
     };
   }
 
@@ -230,7 +234,7 @@
   return needed <= profile.memoryTokens * wanted.share;
 }
 
-function computeRunSums(runs: Iterable<Run>): Omit<boards.LoadSum, "movingTokens"> {
+function computeRunSums(runs: Iterable<Run>): boards.LoadSum {
   let count = 0;
   let reservedTokens = 0;
   let unreadPromptTokens = 0;
--- a/packages/policy/src/engine_placement_test.ts
+++ b/packages/policy/src/engine_placement_test.ts
@@ -60,7 +60,7 @@
   const placement = new placements.EnginePlacement(board);
   const candidates = createCandidates(2);
   const [busy, idle] = candidates.map((one) => one.record.instance);
-  const load = { runs: 4, reservedTokens: 16_000, unreadPromptTokens: 0, movingTokens: 0 };
+  const load = { runs: 4, reservedTokens: 16_000, unreadPromptTokens: 0, moveValue: 0 };
   board.applyReport(core.createId("other"), [{ instance: busy!, ...load }], 0);
   for (let i = 0; i < 5; i++) {
     t.equal(placement.chooseEngine(candidates, DRAFT, createOptions(i))?.instance, idle);
--- a/packages/policy/src/evacuation.ts
+++ b/packages/policy/src/evacuation.ts
@@ -4,11 +4,12 @@
  * notice, in which the engine's link moves only a few generations.
  *
  * An engine sends copies one after another, so two processes that copy at the
- * same time make each other's generations pause. They take turns in an order
- * that all of them compute alike.
+ * same time make each other's generations pause. They take turns: the process
+ * whose next generation is worth most for the time of its copy goes first.
  */
 
 import * as core from "@peridotvale/core";
+import type * as boards from "./load_board.ts";
 
 /** A generation on an engine that leaves. */
 export interface LeavingRun {
@@ -17,8 +18,13 @@
   readonly hasStarted: boolean;
   /** Tokens that it holds. */
   readonly heldTokens: number;
+  readonly promptTokens: number;
   /** Output that is still expected. */
   readonly tokensLeft: number;
+  /** Time of one token at the engine. */
+  readonly tokenMs: number;
+  /** When the answer is due. */
+  readonly answerBy: number;
   /** Moves that were tried and failed. */
   readonly failedMoves: number;
   readonly isMoving: boolean;
@@ -26,23 +32,36 @@
 
 /** Shortest notice of a reclaim, less the time in which it becomes known. */
 const NOTICE_MS = 1_400;
-/** Time of one token where the engine has not been seen to generate. */
-const TOKEN_MS = 9;
+/** A token of output takes an engine about as much work as this many of a prompt. */
+const OUTPUT_TOKEN_WORK = 10;
+/** A generation that ends at best this much too late is not worth its copy; engines differ in speed. */
+const HOPELESS_SHARE = 2;
 const MAX_FAILED_MOVES = 4;
 
-/** Whether a run is worth its move: it does not end by itself in time. */
-export function isWorthMoving(run: LeavingRun): boolean {
+/** Whether a run is worth its move: it does not end by itself in time, and can end in time. */
+export function isWorthMoving(run: LeavingRun, now: number): boolean {
   if (run.failedMoves >= MAX_FAILED_MOVES) return false;
-  return run.tokensLeft * TOKEN_MS > NOTICE_MS;
+  const endsInMs = run.tokensLeft * run.tokenMs;
+  return endsInMs > NOTICE_MS && endsInMs < HOPELESS_SHARE * (run.answerBy - now);
 }
 
-/** Chooses the run that moves next: most output left for the memory that it holds. */
-export function chooseNextMove(runs: readonly LeavingRun[]): LeavingRun | undefined {
+/** Work that is kept per token that is copied; 0 if the run is not to be moved. */
+export function computeMoveValue(run: LeavingRun, now: number): number {
+  if (!run.hasStarted || run.isMoving || !isWorthMoving(run, now)) return 0;
+  const outputTokens = run.heldTokens - run.promptTokens + run.tokensLeft;
+  const work = run.promptTokens + OUTPUT_TOKEN_WORK * outputTokens;
+  return work / Math.max(1, run.heldTokens) / (1 + run.failedMoves);
+}
+
+/** Chooses the run that moves next: most work kept for the memory that is copied. */
+export function chooseNextMove(
+  runs: readonly LeavingRun[],
+  now: number,
+): LeavingRun | undefined {
   let best: LeavingRun | undefined;
   let bestValue = 0;
   for (const run of runs) {
-    if (!run.hasStarted || run.isMoving || !isWorthMoving(run)) continue;
-    const value = run.tokensLeft / Math.max(1, run.heldTokens) / (1 + run.failedMoves);
+    const value = computeMoveValue(run, now);
     if (value <= bestValue) continue;
     best = run;
     bestValue = value;
@@ -51,18 +70,20 @@
 }
 
 /**
- * Whether `self` may copy from `instance` now: the first in order of those that
- * still want to.
+ * Whether the own claim goes before those of other processes. Claims of one value
+ * are ordered by a hash, so that every process finds the same one first.
  */
 export function isOwnTurn(
-  self: core.ProcessId,
+  own: boards.MoveClaim,
   instance: core.InstanceId,
-  others: readonly core.ProcessId[],
+  others: readonly boards.MoveClaim[],
 ): boolean {
-  const own = core.computeHash32(`${instance}|${self}`);
+  const ownRank = core.computeHash32(`${instance}|${own.process}`);
   for (const other of others) {
-    const rank = core.computeHash32(`${instance}|${other}`);
-    if (rank < own || (rank === own && other < self)) return false;
+    if (other.value > own.value) return false;
+    if (other.value < own.value) continue;
+    const rank = core.computeHash32(`${instance}|${other.process}`);
+    if (rank < ownRank || (rank === ownRank && other.process < own.process)) return false;
   }
   return true;
 }
--- a/packages/policy/src/load_board.ts
+++ b/packages/policy/src/load_board.ts
@@ -15,12 +15,18 @@
   readonly reservedTokens: number;
   /** Prompt tokens of runs that have not started. */
   readonly unreadPromptTokens: number;
-  /** Tokens of memory that it still wants to move away from the engine. */
-  readonly movingTokens: number;
+  /** Value of the generation that it wants to move away next; 0 if there is none. */
+  readonly moveValue: number;
 }
 
 /** Sums over processes. */
-export type LoadSum = Omit<EngineLoad, "instance">;
+export type LoadSum = Omit<EngineLoad, "instance" | "moveValue">;
+
+/** A process that wants to move a generation, and what that is worth. */
+export interface MoveClaim {
+  readonly process: core.ProcessId;
+  readonly value: number;
+}
 
 interface Report {
   readonly loads: ReadonlyMap<core.InstanceId, EngineLoad>;
@@ -67,16 +73,14 @@
     let runs = 0;
     let reservedTokens = 0;
     let unreadPromptTokens = 0;
-    let movingTokens = 0;
     for (const report of this.#reports.values()) {
       const load = report.loads.get(instance);
       if (load === undefined) continue;
       runs += load.runs;
       reservedTokens += load.reservedTokens;
       unreadPromptTokens += load.unreadPromptTokens;
-      movingTokens += load.movingTokens;
     }
-    return { runs, reservedTokens, unreadPromptTokens, movingTokens };
+    return { runs, reservedTokens, unreadPromptTokens };
   }
 
   /** Processes that run anything at `instance`. */
@@ -89,11 +93,12 @@
   }
 
   /** Processes that still want to move generations away from `instance`. */
-  listMovingProcesses(instance: core.InstanceId): core.ProcessId[] {
-    const moving: core.ProcessId[] = [];
+  listMoveClaims(instance: core.InstanceId): MoveClaim[] {
+    const claims: MoveClaim[] = [];
     for (const [process, report] of this.#reports) {
-      if ((report.loads.get(instance)?.movingTokens ?? 0) > 0) moving.push(process);
+      const value = report.loads.get(instance)?.moveValue ?? 0;
+      if (value > 0) claims.push({ process, value });
     }
-    return moving;
+    return claims;
   }
 }
