--- a/packages/policy/src/engine_state.ts
+++ b/packages/policy/src/engine_state.ts
@@ -17,6 +17,8 @@
   lastReportAt: number;
   /** Tokens charged ahead of being generated. */
   prepaidTokens: number;
+  /** Whether it is urgent work of a workspace that asks for little. */
+  readonly isLight: boolean;
 }
 
 /** Age beyond which a forecast is computed anew. */
@@ -44,6 +46,8 @@
   readonly prefixes = new prefixes.PrefixBelief();
   readonly speed = new speeds.SpeedModel();
   info: types.EngineInfo;
+  /** Streams of workspaces that ask for little. */
+  lightCount = 0;
   #forecast = new forecasts.MemoryForecast();
   #forecastAt = -Infinity;
   #reserve = 0;
@@ -59,12 +63,14 @@
   /** Adds a stream and counts it in the forecast at once. */
   addStream(stream: ActiveStream, survival: lengths.Survival): void {
     this.streams.set(stream.capacity.request, stream);
+    if (stream.isLight) this.lightCount += 1;
     this.#forecast.addStream(createShape(stream, survival));
   }
 
   /** Takes a stream out. */
   removeStream(stream: ActiveStream, survival: lengths.Survival): void {
     if (!this.streams.delete(stream.capacity.request)) return;
+    if (stream.isLight) this.lightCount -= 1;
     this.#forecast.removeStream(createShape(stream, survival));
   }
 
--- a/packages/policy/src/fair_queue.ts
+++ b/packages/policy/src/fair_queue.ts
@@ -72,6 +72,25 @@
     return queue.items[getServedIndex(queue.items, now)];
   }
 
+  /** The item to serve next of those whose workspace `accepts` takes, or `undefined`. */
+  getNextOf(accepts: (workspace: core.WorkspaceName) => boolean, now: number): Item | undefined {
+    let best: WorkspaceQueue<Item> | undefined;
+    for (const queue of this.#queues.values()) {
+      if (queue.items.length === 0 || !accepts(queue.workspace)) continue;
+      if (best === undefined || queue.virtualTime < best.virtualTime) best = queue;
+    }
+    return best?.items[getServedIndex(best.items, now)];
+  }
+
+  /** Number of items by workspace that has any. */
+  countByWorkspace(): Map<core.WorkspaceName, number> {
+    const counts = new Map<core.WorkspaceName, number>();
+    for (const queue of this.#queues.values()) {
+      if (queue.items.length > 0) counts.set(queue.workspace, queue.items.length);
+    }
+    return counts;
+  }
+
   /** Takes `item` out; returns whether it was queued. */
   removeItem(item: Item): boolean {
     const queue = this.#queues.get(item.workspace);
--- a/packages/policy/src/model_state.ts
+++ b/packages/policy/src/model_state.ts
@@ -2,6 +2,7 @@
 
 import type * as core from "@peridotvale/core";
 import * as queues from "./fair_queue.ts";
+import * as lightWork from "./light_work.ts";
 import * as reserves from "./rank_reserve.ts";
 import * as shares from "./rank_shares.ts";
 import type * as types from "./scheduler_types.ts";
@@ -33,6 +34,7 @@
 /** The ranks of one model, the most urgent first. */
 export class ModelState {
   readonly shares = new shares.RankShares();
+  readonly light = new lightWork.LightWork();
   readonly #residence = new reserves.DecayingMean();
   #ranks: RankQueue[] = [];
   #saturatedAt = -Infinity;
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -4,10 +4,11 @@
  */
 
 import * as core from "@peridotvale/core";
+import * as choices from "./engine_choice.ts";
 import * as engines from "./engine_state.ts";
+import type * as lanes from "./light_lanes.ts";
 import * as lengths from "./length_predictor.ts";
 import * as models from "./model_state.ts";
-import * as placement from "./placement.ts";
 import type * as types from "./scheduler_types.ts";
 
 /** Options of a scheduler. */
@@ -26,8 +27,6 @@
 const PROMPT_TOKEN_COST = 0.05;
 /** Time from a grant to the first token, about. */
 const START_MARGIN_MS = 100;
-/** Slots that workspaces with more than their share leave to the others. */
-const LIGHT_SLOTS_PER_ENGINE = 1;
 const MIN_RETRY_AFTER_MS = 1_000;
 const MAX_IDLE_WORKSPACES = 4_096;
 /** Adopted streams that wait for their engine. */
@@ -238,7 +237,8 @@
   }
 
   #runTick(now: number): void {
-    for (const model of this.#models.values()) {
+    for (const [name, model] of this.#models) {
+      this.#updateLanes(model, name, now);
       for (const rank of model.ranks) {
         for (const item of rank.queue.removeExpired(now)) {
           this.#queued.delete(item.capacity.request);
@@ -290,6 +290,7 @@
         const item = rank.queue.getNext(now);
         if (item === undefined) continue;
         const engine = this.#chooseEngine(model, rank, item.capacity, now);
+        if (engine === undefined && this.#grantLight(model, rank, now)) return true;
         if (engine === undefined) {
           model.recordSaturation(now);
           if (isOwedPass) continue;
@@ -302,6 +303,17 @@
     return false;
   }
 
+  /** Grants a light request that waits behind one which may not have the lanes. */
+  #grantLight(model: models.ModelState, rank: models.RankQueue, now: number): boolean {
+    if (rank !== model.ranks[0] || !model.light.hasLanes) return false;
+    const item = rank.queue.getNextOf((workspace) => model.light.isLight(workspace), now);
+    if (item === undefined) return false;
+    const engine = this.#chooseEngine(model, rank, item.capacity, now);
+    if (engine === undefined) return false;
+    this.#grant(rank, item, engine, now);
+    return true;
+  }
+
   #grant(
     rank: models.RankQueue,
     item: models.QueuedRequest,
@@ -325,32 +337,23 @@
     capacity: types.CapacityRequest,
     now: number,
   ): engines.EngineState | undefined {
-    const survival = this.#predictor.getSurvival(capacity);
-    let keepFree = model.countReserved(rank, now);
-    const lightSlots = rank.workspaces.isHeavy(capacity.workspace) ? LIGHT_SLOTS_PER_ENGINE : 0;
-    const targetMs = this.#getTokenTargetMs();
-    let openSlots = 0;
-    const candidates: engines.EngineState[] = [];
+    const tokenTargetMs = this.#getTokenTargetMs();
+    const choice = { model, rank, capacity, predictor: this.#predictor, tokenTargetMs };
+    return choices.chooseEngine({ engines: this.#engines.values(), ...choice }, now);
+  }
+
+  #updateLanes(model: models.ModelState, name: core.ModelName, now: number): void {
+    const rank = model.ranks[0];
+    if (rank === undefined) return;
+    const tokenTargetMs = this.#getTokenTargetMs();
+    const list: lanes.LaneEngine[] = [];
     for (const engine of this.#engines.values()) {
-      if (!isServing(engine, capacity)) continue;
-      keepFree += lightSlots;
-      const maxBatch = Math.min(engine.info.maxBatch, engine.speed.predictMaxBatch(targetMs));
-      const slots = maxBatch - engine.streams.size;
-      if (slots <= 0) continue;
-      openSlots += slots;
-      candidates.push(engine);
-    }
-    const isOwed = model.shares.isOwed(rank.name);
-    if (!isOwed && openSlots <= keepFree) return undefined;
-    for (const engine of candidates) {
-      engine.updateForecast(this.#predictor, now);
+      if (!choices.isServing(engine, name)) continue;
+      const { endpoint } = engine.info;
+      const maxBatch = choices.predictMaxBatch(engine, tokenTargetMs);
+      list.push({ endpoint, maxBatch, ...engine.speed.line });
     }
-    return placement.choosePlacement(preferFresh(candidates, capacity.avoid), {
-      promptTokens: capacity.promptTokens,
-      emittedTokens: 0,
-      maxTokens: capacity.maxTokens,
-      survival,
-    }, { prefixes: capacity.prefixes, now });
+    model.light.updateLanes(rank, list, now);
   }
 
   /** The strictest target between tokens, less what placement leaves of it. */
@@ -368,7 +371,8 @@
     now: number,
   ): void {
     const survival = this.#predictor.getSurvival(capacity);
-    const rank = this.#getModel(capacity.model).getRank(capacity.rank);
+    const model = this.#getModel(capacity.model);
+    const rank = model.getRank(capacity.rank);
     const expected = survival.computeQuantile(0, 0.5);
     const stream = {
       capacity,
@@ -380,6 +384,7 @@
         capacity.maxTokens,
         Math.max(MIN_PREPAID_TOKENS, expected),
       ),
+      isLight: choices.isLightRequest(model, rank, capacity),
     };
     engine.addStream(stream, survival);
     engine.prefixes.recordPrompt(capacity.prefixes);
@@ -457,23 +462,6 @@
   }
 }
 
-function isServing(
-  engine: engines.EngineState,
-  capacity: types.CapacityRequest,
-): boolean {
-  return engine.info.accepting && engine.info.models.includes(capacity.model);
-}
-
-/** Leaves out engines that failed the request, unless there are no others. */
-function preferFresh(
-  candidates: engines.EngineState[],
-  avoid: readonly core.EndpointId[],
-): engines.EngineState[] {
-  if (avoid.length === 0) return candidates;
-  const fresh = candidates.filter((engine) => !avoid.includes(engine.info.endpoint));
-  return fresh.length > 0 ? fresh : candidates;
-}
-
 function getEvictable(
   engine: engines.EngineState,
 ): engines.ActiveStream | undefined {
--- a/packages/policy/src/speed_model.ts
+++ b/packages/policy/src/speed_model.ts
@@ -37,6 +37,11 @@
     this.#updateLine();
   }
 
+  /** Time per token without streams, and what each stream adds. */
+  get line(): { readonly baseMs: number; readonly slopeMs: number } {
+    return { baseMs: this.#baseMs, slopeMs: this.#slopeMs };
+  }
+
   /** Predicted milliseconds per token with `batch` streams. */
   predictTokenMs(batch: number): number {
     return this.#baseMs + this.#slopeMs * batch;
--- a/packages/policy/src/workspace_shares.ts
+++ b/packages/policy/src/workspace_shares.ts
@@ -39,6 +39,11 @@
     this.#totalWeight -= open.weight;
   }
 
+  /** Workspaces with open streams, and their numbers. */
+  listOpen(): Iterable<readonly [core.WorkspaceName, { readonly count: number }]> {
+    return this.#open;
+  }
+
   /** Whether the workspace holds clearly more than its share. */
   isHeavy(workspace: core.WorkspaceName): boolean {
     const open = this.#open.get(workspace);
