--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -84,6 +84,8 @@
       board: this.#context.board,
       createReport: (now) => this.#createReport(now),
       onReport: (report, received) => this.#applyReport(report, received),
+      getConfig: () => this.#context.config.inForce?.config,
+      onConfig: (config, now) => this.#agent.applyPeerConfig(config, now),
     });
     const { process, zone } = options.settings;
     this.#announcer = new announcers.Announcer({
@@ -101,7 +103,11 @@
       random: options.random,
       onConfig: (now) => this.#applyConfig(now),
       getConfirmIntervalMs: () => policy.computeConfirmIntervalMs(this.#context.settings.bounds),
-      isWatcher: (now) => policy.isStoreWatcher(options.settings, this.#peers.listContacts(now)),
+      isWatcher: (now) => {
+        const isInContact = this.#agent.getOutageMs(now) === 0;
+        const self = { process, zone, isInContact };
+        return policy.isStoreWatcher(self, this.#peers.listContacts(now));
+      },
       onPeer: (peer) => this.#peers.applyPeer(peer),
       onPeerRemoved: (peer) => this.#peers.removePeer(peer),
       onChanges: (changes) => this.#publishChanges(changes),
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -37,6 +37,10 @@
     report: peers.ProcessReportMessage,
     received: ReceivedReport,
   ) => void;
+  /** The configuration in force, if any. */
+  readonly getConfig: () => core.RoutingConfig | undefined;
+  /** Called with a configuration that another process has in force. */
+  readonly onConfig: (config: core.RoutingConfig, now: number) => void;
 }
 
 interface KnownPeer {
@@ -57,12 +61,15 @@
 const REPORT_INTERVAL_MS = 100;
 /** In larger fleets reports come less often, so that their number stays bounded. */
 const PROCESSES_PER_INTERVAL = 8;
-/** A report without change is repeated after this time, and shows that the link lives. */
-const REPEAT_INTERVAL_MS = 500;
 /** A link over which nothing came for this long is replaced. */
 const SILENT_LINK_MS = 2_000;
 /** Reports tell what changed in the last 1.5 s; two that are this close leave no gap. */
 const CONTINUOUS_MS = 1_200;
+/**
+ * A newer configuration is asked for at most this often; it comes within a round trip,
+ * and another process may be asked after that.
+ */
+const CONFIG_ASK_INTERVAL_MS = 200;
 /** Fleets up to this size are linked in full. */
 const FULL_MESH_PROCESSES = 12;
 
@@ -76,6 +83,7 @@
   #timer: NodeJS.Timeout | undefined;
   #lastText = "";
   #lastReportAt = -Infinity;
+  #configAskedAt = -Infinity;
 
   constructor(options: PeerAgentOptions) {
     const { settings, clock } = options;
@@ -143,7 +151,8 @@
   listContacts(now: number): policy.StoreContact[] {
     const contacts: policy.StoreContact[] = [];
     for (const [process, last] of this.#lastReports) {
-      contacts.push({ process, zone: last.zone, confirmAgeMs: now - last.confirmedAt });
+      const confirmAgeMs = last.hasStore ? now - last.confirmedAt : Infinity;
+      contacts.push({ process, zone: last.zone, confirmAgeMs });
     }
     return contacts;
   }
@@ -172,7 +181,8 @@
     const linked = this.#lastReports.size;
     const intervalMs = REPORT_INTERVAL_MS * Math.max(1, linked / PROCESSES_PER_INTERVAL);
     if (now - this.#lastReportAt < intervalMs) return;
-    this.#report(now, now - this.#lastReportAt >= REPEAT_INTERVAL_MS);
+    const repeatIntervalMs = policy.computeRepeatIntervalMs(this.#options.settings.bounds);
+    this.#report(now, now - this.#lastReportAt >= repeatIntervalMs);
   }
 
   #report(now: number, isForced: boolean): void {
@@ -215,9 +225,31 @@
   }
 
   #onMessage(link: peers.PeerLink, message: peers.PeerMessage): void {
-    if (message.type !== "process_report" || link.peer === undefined) return;
+    if (link.peer === undefined) return;
+    const { getConfig, onConfig, clock } = this.#options;
+    switch (message.type) {
+      case "process_report":
+        return this.#applyReport(link, link.peer, message);
+      case "config_wanted": {
+        const config = getConfig();
+        if (config !== undefined) link.send({ type: "config", config });
+        return;
+      }
+      case "config":
+        return onConfig(message.config, clock.now());
+      default:
+        // Messages of the product's own entry processes.
+        return;
+    }
+  }
+
+  #applyReport(
+    link: peers.PeerLink,
+    peer: policy.MemberInfo,
+    message: peers.ProcessReportMessage,
+  ): void {
     const now = this.#options.clock.now();
-    const { process, zone } = link.peer;
+    const { process, zone } = peer;
     this.#options.board.applyReport(process, message.loads, now);
     const sentAt = message.answersSentAt;
     const ageMs = message.store?.confirmAgeMs ?? Infinity;
@@ -232,6 +264,14 @@
     });
     const isContinuous = last !== undefined && now - last.receivedAt < CONTINUOUS_MS;
     this.#options.onReport(message, { sentAt, isContinuous, now });
+    this.#askForConfig(link, message.store?.release ?? 0, now);
+  }
+
+  #askForConfig(link: peers.PeerLink, release: number, now: number): void {
+    if (release <= (this.#options.getConfig()?.release ?? 0)) return;
+    if (now - this.#configAskedAt < CONFIG_ASK_INTERVAL_MS) return;
+    this.#configAskedAt = now;
+    link.send({ type: "config_wanted" });
   }
 
   #onLinkLost(process: core.ProcessId): void {
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -168,7 +168,7 @@
         this.#refuse(request, 503, "config_unconfirmed");
         return undefined;
       }
-    } else if (context.config.getAge(context.clock.now()) > maxAgeMs * STALE_SHARE) {
+    } else if (this.#isAgeing(maxAgeMs)) {
       void agent.confirm(CONFIRM_WAIT_MS);
     }
     if (found.type === "routed") return found.routed;
@@ -176,6 +176,13 @@
     return undefined;
   }
 
+  /** Whether a confirmation is wanted soon; while the store is away the agent asks by itself. */
+  #isAgeing(maxAgeMs: number): boolean {
+    const { context, agent } = this.#options;
+    const now = context.clock.now();
+    return context.config.getAge(now) > maxAgeMs * STALE_SHARE && agent.getOutageMs(now) === 0;
+  }
+
   /** Waits for a confirmation, unless it is known that the store does not answer. */
   async #confirm(): Promise<boolean> {
     const { agent, context } = this.#options;
--- a/packages/gateway/src/store_agent.ts
+++ b/packages/gateway/src/store_agent.ts
@@ -21,8 +21,12 @@
 const MAX_BACKOFF_MS = 800;
 /** A watch may lag behind a read by this much before it counts as deaf. */
 const DEAF_WATCH_MS = 200;
+/** Time in which a newer configuration comes from another process; it is read after that. */
+const PEER_CONFIG_WAIT_MS = 500;
 /** How often a process that does not watch looks whether it should. */
 const DUTY_INTERVAL_MS = 100;
+/** A store that does not answer is asked again after this time if others confirm. */
+const OUTAGE_RETRY_MS = 2_000;
 /** Failures of the store for this long count as an outage, in which entries may lapse. */
 const OUTAGE_MS = 700;
 
@@ -57,6 +61,8 @@
   #lastSuccessAt = -Infinity;
   #deafSince: number | undefined;
   #hasListed = false;
+  /** When another process first told of a release that is not in force here. */
+  #behindSince: number | undefined;
 
   constructor(options: StoreAgentOptions) {
     this.#options = options;
@@ -102,7 +108,7 @@
   async #runConfirmations(): Promise<void> {
     let backoffMs = MIN_BACKOFF_MS;
     while (!this.#isStopped) {
-      if (this.#isConfirmedLately()) {
+      if (this.#isConfirmedLately() && !this.#isRetryDue()) {
         await core.waitFor(CONFIRM_POLL_MS);
         continue;
       }
@@ -112,6 +118,12 @@
     }
   }
 
+  /** While others confirm, a store that did not answer is asked at intervals whether it does. */
+  #isRetryDue(): boolean {
+    const now = this.#options.clock.now();
+    return this.#failingSince !== undefined && now - this.#lastConfirmStart > OUTAGE_RETRY_MS;
+  }
+
   /** Another process's confirmation serves as well as an own one. */
   #isConfirmedLately(): boolean {
     const { config, clock, isWatcher } = this.#options;
@@ -186,7 +198,10 @@
 
   #adopt(
     found: core.RoutingConfig,
-    source: { readonly askedAt: number; readonly from: "read" | "listing" | "watch" },
+    source: {
+      readonly askedAt: number;
+      readonly from: "read" | "listing" | "watch" | "peer";
+    },
   ): void {
     const now = this.#options.clock.now();
     if (!this.#options.config.adopt(found, source.askedAt)) return;
@@ -269,8 +284,25 @@
       if (isContinuous) this.#watchedRevision = news.revision;
       else void this.#list();
     }
-    const release = this.#options.config.inForce?.config.release ?? 0;
-    if (news.release > release) void this.confirm(0);
+    this.#checkRelease(news.release, now);
+  }
+
+  /** Applies the configuration that another process has in force; it confirms nothing. */
+  applyPeerConfig(config: core.RoutingConfig, now: number): void {
+    this.#adopt(config, { askedAt: -Infinity, from: "peer" });
+    this.#checkRelease(config.release, now);
+  }
+
+  /** Reads a release that others have told of if none of them has passed it on in time. */
+  #checkRelease(release: number, now: number): void {
+    if (release <= (this.#options.config.inForce?.config.release ?? 0)) {
+      this.#behindSince = undefined;
+      return;
+    }
+    this.#behindSince ??= now;
+    if (now - this.#behindSince < PEER_CONFIG_WAIT_MS) return;
+    if (now - this.#lastConfirmStart < PEER_CONFIG_WAIT_MS) return;
+    void this.confirm(0);
   }
 
   /** Ends a watch that does not report what a read has shown to exist. */
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -94,9 +94,12 @@
     return await new Promise((resolve) => {
       this.#waiters.set(waiting.request, { avoid, resolve });
       this.#queue.add(waiting, now);
-      request.setCancel(() => {
+      request.setCancel((reason) => {
         this.#queue.remove(waiting.request);
-        this.#settle(waiting.request, "caller_gone");
+        this.#settle(
+          waiting.request,
+          reason === "timeout" ? "no_engine_in_time" : "caller_gone",
+        );
       });
       this.#placeWaiting();
     });
--- a/packages/peers/src/codec.ts
+++ b/packages/peers/src/codec.ts
@@ -23,6 +23,8 @@
   "capacity_events",
   "capacity_effects",
   "process_report",
+  "config_wanted",
+  "config",
   "explain",
   "explained",
 ]);
@@ -43,7 +45,19 @@
   events: readonly policy.SchedulerEvent[],
 ];
 
-type Wire = messages.PeerMessage | WireHeartbeat | WireEvents;
+/** A routing configuration as it travels: its maps as lists of pairs. */
+interface WireConfig {
+  readonly type: "config";
+  readonly config: Omit<core.RoutingConfig, "services" | "keys">;
+  readonly services: readonly (readonly [core.ServiceName, core.RoutedService])[];
+  readonly keys: readonly (readonly [string, core.KeyOwner])[] | undefined;
+}
+
+type Wire =
+  | Exclude<messages.PeerMessage, messages.ConfigMessage>
+  | WireConfig
+  | WireHeartbeat
+  | WireEvents;
 
 /** Encodes a message as one frame. */
 export function encodeMessage(message: messages.PeerMessage): Uint8Array {
@@ -74,11 +88,15 @@
 function createWire(message: messages.PeerMessage): Wire {
   if (message.type === "heartbeat") return encodeHeartbeat(message);
   if (message.type === "capacity_events") return encodeEvents(message);
+  if (message.type === "config") return encodeConfig(message);
   return message;
 }
 
 function readWire(wire: Wire): messages.PeerMessage {
-  if (!Array.isArray(wire)) return wire as messages.PeerMessage;
+  if (!Array.isArray(wire)) {
+    const message = wire as Exclude<Wire, WireHeartbeat | WireEvents>;
+    return message.type === "config" ? decodeConfig(message) : message;
+  }
   const [first] = wire as readonly unknown[];
   if (Array.isArray(first)) return decodeEvents(wire as unknown as WireEvents);
   return decodeHeartbeat(wire as unknown as WireHeartbeat);
@@ -106,6 +124,18 @@
   return { type: "heartbeat", incarnation, draining, release, openRequests, ask, groups };
 }
 
+function encodeConfig(message: messages.ConfigMessage): WireConfig {
+  const { services, keys, ...config } = message.config;
+  const pairs = keys === undefined ? undefined : [...keys];
+  return { type: "config", config, services: [...services], keys: pairs };
+}
+
+function decodeConfig(wire: WireConfig): messages.ConfigMessage {
+  const services = new Map(wire.services);
+  const keys = wire.keys === undefined ? undefined : new Map(wire.keys);
+  return { type: "config", config: { ...wire.config, services, keys } };
+}
+
 function encodeEvents(message: messages.CapacityEventsMessage): WireEvents {
   const reports: (string | number)[] = [];
   const events: policy.SchedulerEvent[] = [];
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -93,6 +93,17 @@
   readonly changed: readonly core.EndpointRecord[];
 }
 
+/** Asks for the routing configuration in force at the receiver, which told of a higher release. */
+export interface ConfigWantedMessage {
+  readonly type: "config_wanted";
+}
+
+/** The routing configuration in force at the sender; it confirms nothing. */
+export interface ConfigMessage {
+  readonly type: "config";
+  readonly config: core.RoutingConfig;
+}
+
 /** Asks for the decisions about a request. */
 export interface ExplainMessage {
   readonly type: "explain";
@@ -125,5 +136,7 @@
   | CapacityEventsMessage
   | CapacityEffectsMessage
   | ProcessReportMessage
+  | ConfigWantedMessage
+  | ConfigMessage
   | ExplainMessage
   | ExplainedMessage;
--- a/packages/policy/src/store_duty_test.ts
+++ b/packages/policy/src/store_duty_test.ts
@@ -10,13 +10,17 @@
 }));
 
 tap.t.test("each zone with a process in contact with the store has a watcher in contact", (t) => {
-  const ages = fastCheck.array(fastCheck.constantFrom(100, 5_000), {
+  const ages = fastCheck.array(fastCheck.constantFrom(100, 5_000, Infinity), {
     minLength: 8,
     maxLength: 8,
   });
   fastCheck.assert(
     fastCheck.property(ages, (list) => {
-      const all = CONTACTS.map((one, index) => ({ ...one, confirmAgeMs: list[index]! }));
+      const all = CONTACTS.map((one, index) => ({
+        ...one,
+        confirmAgeMs: list[index]!,
+        isInContact: list[index]! !== Infinity,
+      }));
       for (const zone of ZONES) {
         const members = all.filter((one) => one.zone === zone);
         const watchers = members.filter((self) =>
@@ -25,12 +29,19 @@
         const isServed = members.some((one) => one.confirmAgeMs === 100);
         const inContact = watchers.filter((one) => one.confirmAgeMs === 100);
         if (isServed && inContact.length !== 1) return false;
+        if (isServed && watchers.some((one) => !one.isInContact)) return false;
+        const isCutOff = members.every((one) => !one.isInContact);
+        if (isCutOff && watchers.length !== members.length) return false;
       }
       return true;
     }),
     { seed: 20261204 },
   );
-  t.equal(duties.isStoreWatcher(CONTACTS[0]!, []), true, "a process alone watches");
+  t.equal(
+    duties.isStoreWatcher({ ...CONTACTS[0]!, isInContact: true }, []),
+    true,
+    "a process alone watches",
+  );
   t.end();
 });
 
@@ -42,3 +53,13 @@
   t.equal(compute(60_000, 60_000), 2_000);
   t.end();
 });
+
+tap.t.test("a relayed confirmation is younger than half of the bound on keys", (t) => {
+  for (const keyRevocationMs of [1_000, 2_000, 5_000, 20_000]) {
+    const bounds = { configApplyMs: 10_000, keyRevocationMs };
+    const oldestMs = 2 * duties.computeRepeatIntervalMs(bounds) +
+      duties.computeConfirmIntervalMs(bounds);
+    t.ok(oldestMs <= keyRevocationMs / 2, `${oldestMs} of ${keyRevocationMs} ms`);
+  }
+  t.end();
+});
