--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -44,7 +44,10 @@
 }
 
 interface KnownPeer {
-  readonly target: peers.PeerTarget & { readonly zone: core.ZoneName };
+  readonly target: peers.ProcessAddress;
+  readonly learntAt: number;
+  /** Whether the store named it, and not only another process. */
+  readonly isAnnounced: boolean;
   /** Whether its announcement is gone; its reports decide whether it still lives. */
   isWithdrawn: boolean;
 }
@@ -70,6 +73,10 @@
  * and another process may be asked after that.
  */
 const CONFIG_ASK_INTERVAL_MS = 200;
+/** What was learnt of other processes is passed on for this long; some reports may be lost. */
+const PEER_NEWS_MS = 1_500;
+/** A process that others told of is forgotten if it has not reported by then. */
+const UNHEARD_PEER_MS = 10_000;
 /** Fleets up to this size are linked in full. */
 const FULL_MESH_PROCESSES = 12;
 
@@ -131,8 +138,26 @@
 
   /** Applies what the store says of other processes. */
   applyPeer(peer: stores.AnnouncedPeer): void {
-    if (peer.process === this.#options.settings.process) return;
-    this.#known.set(peer.process, { target: peer, isWithdrawn: false });
+    this.#learnPeer(peer, true);
+  }
+
+  /** Not every process watches the store, so each tells the others of those it learns of. */
+  #learnPeer(target: peers.ProcessAddress, isAnnounced: boolean): void {
+    if (target.process === this.#options.settings.process) return;
+    const known = this.#known.get(target.process);
+    const isSame = known !== undefined && !known.isWithdrawn &&
+      known.target.address === target.address;
+    if (isSame && (known.isAnnounced || !isAnnounced)) return;
+    // Only the store tells of a process that has moved.
+    if (known !== undefined && !isAnnounced) return;
+    const learntAt = isSame ? known.learntAt : this.#options.clock.now();
+    const { process, zone, address } = target;
+    this.#known.set(process, {
+      target: { process, zone, address },
+      learntAt,
+      isAnnounced,
+      isWithdrawn: false,
+    });
     this.#updateTargets();
   }
 
@@ -172,7 +197,9 @@
     this.#options.board.expireReports(now);
     let hasChanged = false;
     for (const [process, known] of this.#known) {
-      if (!known.isWithdrawn || this.#options.board.hasReport(process)) continue;
+      const isUnheard = !known.isAnnounced && now - known.learntAt > UNHEARD_PEER_MS;
+      if (!known.isWithdrawn && !isUnheard) continue;
+      if (this.#options.board.hasReport(process)) continue;
       this.#known.delete(process);
       hasChanged = true;
     }
@@ -193,17 +220,33 @@
       report.store?.release,
       report.store?.isReachable,
       report.store?.changed,
+      this.#listPeers(now - PEER_NEWS_MS),
     ]);
     if (!isForced && text === this.#lastText) return;
     this.#lastText = text;
     this.#lastReportAt = now;
-    for (const link of this.#mesh.getLinks()) this.#sendReport(link, report, now);
+    const news = this.#listPeers(now - PEER_NEWS_MS);
+    for (const link of this.#mesh.getLinks()) this.#sendReport(link, report, { now, news });
   }
 
-  #sendReport(link: peers.PeerLink, report: OwnReport, now: number): void {
+  #sendReport(
+    link: peers.PeerLink,
+    report: OwnReport,
+    options: { readonly now: number; readonly news: readonly peers.ProcessAddress[] },
+  ): void {
     if (link.peer === undefined) return;
     const answersSentAt = this.#lastReports.get(link.peer.process)?.sentAt;
-    link.send({ type: "process_report", ...report, sentAt: now, answersSentAt });
+    const { now, news } = options;
+    link.send({ type: "process_report", ...report, sentAt: now, answersSentAt, peers: news });
+  }
+
+  /** Other processes that were learnt of after `since`. */
+  #listPeers(since: number): peers.ProcessAddress[] {
+    const list: peers.ProcessAddress[] = [];
+    for (const known of this.#known.values()) {
+      if (known.learntAt >= since && !known.isWithdrawn) list.push(known.target);
+    }
+    return list;
   }
 
   /** Of two processes, the one whose name comes first opens the link. */
@@ -220,8 +263,10 @@
 
   #onLinkOpened(link: peers.PeerLink): void {
     this.#options.logger.write("peer_linked", { peer: link.peer?.process });
+    if (link.peer !== undefined) this.#learnPeer(link.peer, false);
     const now = this.#options.clock.now();
-    this.#sendReport(link, this.#options.createReport(now), now);
+    const news = this.#listPeers(-Infinity);
+    this.#sendReport(link, this.#options.createReport(now), { now, news });
   }
 
   #onMessage(link: peers.PeerLink, message: peers.PeerMessage): void {
@@ -264,6 +309,7 @@
     });
     const isContinuous = last !== undefined && now - last.receivedAt < CONTINUOUS_MS;
     this.#options.onReport(message, { sentAt, isContinuous, now });
+    for (const target of message.peers) this.#learnPeer(target, false);
     this.#askForConfig(link, message.store?.release ?? 0, now);
   }
 
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -78,6 +78,15 @@
   readonly answersSentAt: number | undefined;
   /** What the sender knows of the store. */
   readonly store: StoreView | undefined;
+  /** Processes that the sender has lately learnt of; all that it knows on a new link. */
+  readonly peers: readonly ProcessAddress[];
+}
+
+/** Where a process is reached. */
+export interface ProcessAddress {
+  readonly process: core.ProcessId;
+  readonly zone: core.ZoneName;
+  readonly address: string;
 }
 
 /** How a process sees the store. */
