--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -138,11 +138,11 @@
 
   /** Applies what the store says of other processes. */
   applyPeer(peer: stores.AnnouncedPeer): void {
-    this.#learnPeer(peer, true);
+    this.#recordPeer(peer, true);
   }
 
   /** Not every process watches the store, so each tells the others of those it learns of. */
-  #learnPeer(target: peers.ProcessAddress, isAnnounced: boolean): void {
+  #recordPeer(target: peers.ProcessAddress, isAnnounced: boolean): void {
     if (target.process === this.#options.settings.process) return;
     const known = this.#known.get(target.process);
     const isSame = known !== undefined && !known.isWithdrawn &&
@@ -263,7 +263,7 @@
 
   #onLinkOpened(link: peers.PeerLink): void {
     this.#options.logger.write("peer_linked", { peer: link.peer?.process });
-    if (link.peer !== undefined) this.#learnPeer(link.peer, false);
+    if (link.peer !== undefined) this.#recordPeer(link.peer, false);
     const now = this.#options.clock.now();
     const news = this.#listPeers(-Infinity);
     this.#sendReport(link, this.#options.createReport(now), { now, news });
@@ -309,11 +309,11 @@
     });
     const isContinuous = last !== undefined && now - last.receivedAt < CONTINUOUS_MS;
     this.#options.onReport(message, { sentAt, isContinuous, now });
-    for (const target of message.peers) this.#learnPeer(target, false);
-    this.#askForConfig(link, message.store?.release ?? 0, now);
+    for (const target of message.peers) this.#recordPeer(target, false);
+    this.#requestConfig(link, message.store?.release ?? 0, now);
   }
 
-  #askForConfig(link: peers.PeerLink, release: number, now: number): void {
+  #requestConfig(link: peers.PeerLink, release: number, now: number): void {
     if (release <= (this.#options.getConfig()?.release ?? 0)) return;
     if (now - this.#configAskedAt < CONFIG_ASK_INTERVAL_MS) return;
     this.#configAskedAt = now;
