--- a/packages/gateway/src/stream_leg.ts
+++ b/packages/gateway/src/stream_leg.ts
@@ -34,6 +34,8 @@
 const FIRST_FAILURE_STATUS = 300;
 /** Largest failure body of an engine. */
 const MAX_FAILURE_BYTES = 1024 * 1024;
+/** Largest event; engines send some hundred bytes. One that never ends would fill memory. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 
 /** Turns the bytes of an exchange into events. */
 export class StreamLeg implements pools.ExchangeListener {
@@ -110,6 +112,7 @@
     }
     const events = this.#splitter.push(chunk);
     if (events.length > 0) this.#listener.onEvents(events);
+    if (this.#splitter.pendingBytes > MAX_EVENT_BYTES) this.abort("event too large");
   }
 
   onEnd(): boolean {
