--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -84,6 +84,7 @@
       board: this.#context.board,
       createReport: (now) => this.#createReport(now),
       onReport: (report, received) => this.#applyReport(report, received),
+      getRepeatIntervalMs: () => policy.computeRepeatIntervalMs(this.#context.settings.bounds),
       getConfig: () => this.#context.config.inForce?.config,
       onConfig: (config, now) => this.#agent.applyPeerConfig(config, now),
     });
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -37,6 +37,8 @@
     report: peers.ProcessReportMessage,
     received: ReceivedReport,
   ) => void;
+  /** How often a report without change is repeated, which shows that the link lives. */
+  readonly getRepeatIntervalMs: () => number;
   /** The configuration in force, if any. */
   readonly getConfig: () => core.RoutingConfig | undefined;
   /** Called with a configuration that another process has in force. */
@@ -208,8 +210,7 @@
     const linked = this.#lastReports.size;
     const intervalMs = REPORT_INTERVAL_MS * Math.max(1, linked / PROCESSES_PER_INTERVAL);
     if (now - this.#lastReportAt < intervalMs) return;
-    const repeatIntervalMs = policy.computeRepeatIntervalMs(this.#options.settings.bounds);
-    this.#report(now, now - this.#lastReportAt >= repeatIntervalMs);
+    this.#report(now, now - this.#lastReportAt >= this.#options.getRepeatIntervalMs());
   }
 
   #report(now: number, isForced: boolean): void {
--- a/packages/gateway/src/store_agent.ts
+++ b/packages/gateway/src/store_agent.ts
@@ -61,7 +61,9 @@
   #lastSuccessAt = -Infinity;
   #deafSince: number | undefined;
   #hasListed = false;
-  /** When another process first told of a release that is not in force here. */
+  /** Highest release that another process has told of. */
+  #toldRelease = 0;
+  /** Since when one that another process has told of is not in force here. */
   #behindSince: number | undefined;
 
   constructor(options: StoreAgentOptions) {
@@ -295,7 +297,8 @@
 
   /** Reads a release that others have told of if none of them has passed it on in time. */
   #checkRelease(release: number, now: number): void {
-    if (release <= (this.#options.config.inForce?.config.release ?? 0)) {
+    this.#toldRelease = Math.max(this.#toldRelease, release);
+    if (this.#toldRelease <= (this.#options.config.inForce?.config.release ?? 0)) {
       this.#behindSince = undefined;
       return;
     }
