--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -32,7 +32,7 @@
   {
     name: "a newer configuration is asked for at the process that has it",
     file: "packages/gateway/src/peer_agent.ts",
-    from: "this.#requestConfig(link, message.store?.release ?? 0, now);",
+    from: "this.#sendConfigWanted(link, message.store?.release ?? 0, now);",
     to: "",
     test: "platform/dist/fleet_test.js",
   },
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -311,10 +311,10 @@
     const isContinuous = last !== undefined && now - last.receivedAt < CONTINUOUS_MS;
     this.#options.onReport(message, { sentAt, isContinuous, now });
     for (const target of message.peers) this.#recordPeer(target, false);
-    this.#requestConfig(link, message.store?.release ?? 0, now);
+    this.#sendConfigWanted(link, message.store?.release ?? 0, now);
   }
 
-  #requestConfig(link: peers.PeerLink, release: number, now: number): void {
+  #sendConfigWanted(link: peers.PeerLink, release: number, now: number): void {
     if (release <= (this.#options.getConfig()?.release ?? 0)) return;
     if (now - this.#configAskedAt < CONFIG_ASK_INTERVAL_MS) return;
     this.#configAskedAt = now;
