--- a/packages/gateway/src/leave_watcher.ts
+++ b/packages/gateway/src/leave_watcher.ts
@@ -59,9 +59,15 @@
     const path = context.config.inForce?.config.services.get(endpoint.service)?.healthPath;
     if (path === undefined) return;
     const health = await context.engineControl.readHealth(endpoint.endpoint, path);
-    if (health === undefined) return;
     const now = context.clock.now();
     const { instance } = endpoint;
+    context.logger.write("endpoint_asked", {
+      instance,
+      question: "health",
+      answer: health === undefined ? "none" : health.isHealthy ? "healthy" : "unhealthy",
+      answered_by: health?.instance,
+    });
+    if (health === undefined) return;
     if (health.instance !== undefined && health.instance !== instance) {
       return context.publishChanges(context.directory.recordMisdirected(instance, now));
     }
@@ -91,6 +97,11 @@
   async #checkEngine(endpoint: core.EndpointRecord): Promise<void> {
     const { context } = this.#options;
     const state = await context.engineControl.readState(endpoint.endpoint);
+    context.logger.write("endpoint_asked", {
+      instance: endpoint.instance,
+      question: "state",
+      answer: state === undefined ? "none" : state.isLeaving ? "leaving" : "staying",
+    });
     if (state === undefined || !state.isLeaving) return;
     context.publishChanges(
       context.directory.recordSeenLeaving(endpoint.instance, context.clock.now()),
--- a/packages/policy/src/engine_choice.ts
+++ b/packages/policy/src/engine_choice.ts
@@ -72,7 +72,7 @@
 ): engines.EngineState[] {
   const { model, rank, capacity, tokenTargetMs } = choice;
   let keepFree = model.countReserved(rank, options.now);
-  const lightSlots = rank.workspaces.isHeavy(capacity.workspace) ? LIGHT_SLOTS_PER_ENGINE : 0;
+  const lightSlots = rank.workspaces.isAboveShare(capacity.workspace) ? LIGHT_SLOTS_PER_ENGINE : 0;
   const isOwed = model.shares.isOwed(rank.name);
   const mayUseLanes = options.isLight || isOwed;
   let openSlots = 0;
--- a/packages/policy/src/workspace_shares.ts
+++ b/packages/policy/src/workspace_shares.ts
@@ -7,8 +7,8 @@
   readonly weight: number;
 }
 
-/** Share over the fair one at which a workspace counts as heavy. */
-const HEAVY_RATIO = 1.5;
+/** Share over the fair one at which a workspace counts as above it. */
+const ABOVE_SHARE_RATIO = 1.5;
 
 /** Open streams by workspace. */
 export class WorkspaceShares {
@@ -45,10 +45,10 @@
   }
 
   /** Whether the workspace holds clearly more than its share. */
-  isHeavy(workspace: core.WorkspaceName): boolean {
+  isAboveShare(workspace: core.WorkspaceName): boolean {
     const open = this.#open.get(workspace);
     if (open === undefined || this.#open.size === 1) return false;
     const fair = this.#totalOpen * open.weight / this.#totalWeight;
-    return open.count > fair * HEAVY_RATIO;
+    return open.count > fair * ABOVE_SHARE_RATIO;
   }
 }
