--- a/packages/policy/src/light_work.ts
+++ b/packages/policy/src/light_work.ts
@@ -16,6 +16,8 @@
   readonly workspaces: workspaces.WorkspaceShares;
 }
 
+/** Most places kept for bursts, for each light stream that there is now. */
+const MAX_BURST = 3;
 /** After a workspace wanted more than its share, lanes are kept for this long; floods pause. */
 const LANES_KEPT_MS = 5_000;
 
@@ -51,7 +53,9 @@
     this.#heavy = heavy;
     this.#peak.recordValue(lightStreams, now);
     if (heavy.size > 0) this.#keptUntil = now + LANES_KEPT_MS;
-    this.#lanes = lanes.planLanes(engines, now < this.#keptUntil ? this.#peak.getPeak(now) : 0);
+    // The peak may be of workspaces that are heavy by now.
+    const kept = Math.min(this.#peak.getPeak(now), MAX_BURST * lightStreams);
+    this.#lanes = lanes.planLanes(engines, now < this.#keptUntil ? kept : 0);
   }
 
   /** Slots of `engine` that a request may have; only `mayUseLanes` gives those of light work. */
