Refusals by an engine do not draw on the retry budget; a stale status brings no grants back

Cause: when an engine unloads a model or is killed, all grants under way fail at once. An engine that reset a connection before it answered was not recorded as failed, and a membership change passed the last status on again, so that the owner granted the dead engine's slots once more. Change: an attempt that no engine took needs no budget (the owner grants the engine nothing until its next status, which limits them); a reset before the answer counts as a failure of the engine; after a request was not taken, only a status whose read was sent later brings grants back. Ruled out: a larger budget, which would hide the repeated grants.

--- a/packages/bench/src/dispatchers.ts
+++ b/packages/bench/src/dispatchers.ts
@@ -205,6 +205,7 @@
         endpoint: id,
         models: [workload.MODEL],
         accepting: isAccepting && !this.#unavailableEngines.has(id),
+        statusReadAt: this.#context.queue.now,
         memoryLimitTokens: engine.parameters.memoryTokens * host.engineShare,
         maxBatch: Math.max(1, Math.floor(engine.parameters.maxBatch * host.engineShare)),
       },
--- a/packages/bench/src/scale_bench_main.ts
+++ b/packages/bench/src/scale_bench_main.ts
@@ -202,6 +202,7 @@
       endpoint: core.createId<core.EndpointId>(`e${index}`),
       models: [MODEL],
       accepting: true,
+      statusReadAt: 0,
       memoryLimitTokens: 100_000,
       maxBatch: STREAMS_PER_ENGINE,
     },
--- a/packages/entry/src/engine_monitor.ts
+++ b/packages/entry/src/engine_monitor.ts
@@ -29,6 +29,8 @@
 
 interface WatchedEngine {
   status: engines.EngineStatus | undefined;
+  /** Time at which the read that returned `status` was sent. */
+  statusReadAt: number;
   assignments: readonly EngineAssignment[];
   /** Number of successful status reads. */
   statusReadCount: number;
@@ -80,6 +82,7 @@
         endpoint,
         models,
         accepting,
+        statusReadAt: watched.statusReadAt,
         memoryLimitTokens: status.memoryLimitTokens * share,
         maxBatch: Math.max(1, Math.floor(status.maxBatch * share)),
       };
@@ -94,6 +97,7 @@
 
   async #readEngine(endpoint: core.EndpointId): Promise<void> {
     const { table } = this.#options.directory;
+    const statusReadAt = this.#runtime.clock.now();
     const status = await this.#options.client.readStatus(endpoint);
     const now = this.#runtime.clock.now();
     const watched = this.#engines.get(endpoint);
@@ -105,6 +109,7 @@
     }
     const preemptionsBefore = watched.status?.preemptions ?? status.value.preemptions;
     watched.status = status.value;
+    watched.statusReadAt = statusReadAt;
     table.recordSuccess(endpoint);
     table.recordAnnouncement(endpoint, !status.value.accepting);
     this.updateEngine(endpoint);
@@ -169,5 +174,11 @@
 }
 
 function createWatchedEngine(assignments: readonly EngineAssignment[]): WatchedEngine {
-  return { status: undefined, assignments, statusReadCount: 0, cacheSequence: 0 };
+  return {
+    status: undefined,
+    statusReadAt: -Infinity,
+    assignments,
+    statusReadCount: 0,
+    cacheSequence: 0,
+  };
 }
--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -229,7 +229,10 @@
     if (this.#grant?.evictionSignal.aborted) {
       return this.#createFailure("failed", "evicted");
     }
-    if (error.code === "unreachable") this.#recordUnreachableEngine(endpoint);
+    // A killed engine resets the connections in use and refuses new ones. Without this record, the
+    // owner would grant its slots again until the next status read fails.
+    const isGone = error.code === "unreachable" || error.code === "connection_lost";
+    if (isGone) this.#recordUnreachableEngine(endpoint);
     else if (error.outcome === "not_run") this.#endGrantAsNotTaken();
     return this.#createFailure(error.outcome, error.code);
   }
@@ -388,7 +391,7 @@
       this.#idleResumeCount += 1;
       return neverthrow.ok("resume");
     }
-    this.#context.retryBudget.takeRetry();
+    if (policy.isRetryCharged(failure.outcome)) this.#context.retryBudget.takeRetry();
     if (retry.type === "restart" && this.#sink.reset()) {
       this.#position = { delivered: 0, prefixHash: 0n };
     }
--- a/packages/policy/src/engine_state.ts
+++ b/packages/policy/src/engine_state.ts
@@ -49,6 +49,7 @@
   readonly speed = new speeds.SpeedModel();
   info: types.EngineInfo;
   lowDemandStreamCount = 0;
+  #notTakenAt = -Infinity;
   #forecast = new forecasts.MemoryForecast();
   #forecastUpdatedAt = -Infinity;
   #reserveShare = 0;
@@ -62,6 +63,24 @@
     this.info = info;
   }
 
+  /**
+   * Replaces the engine's state. A status that was read before the engine last failed to take a
+   * request does not show whether it takes requests again.
+   */
+  updateInfo(info: types.EngineInfo): void {
+    const isOutdated = info.statusReadAt <= this.#notTakenAt;
+    this.info = isOutdated ? { ...info, accepting: false } : info;
+  }
+
+  /**
+   * Records that the engine did not take a request. It gets no further grants until a status that
+   * is read later shows that it accepts requests.
+   */
+  recordNotTaken(now: number): void {
+    this.#notTakenAt = now;
+    this.info = { ...this.info, accepting: false };
+  }
+
   /** Adds a stream and includes it in the forecast at once. */
   addStream(stream: ActiveStream, survival: lengths.SurvivalCurve): void {
     this.streams.set(stream.capacity.request, stream);
--- a/packages/policy/src/retry_policy.ts
+++ b/packages/policy/src/retry_policy.ts
@@ -18,6 +18,16 @@
   readonly deadlineAt: number;
 }
 
+/**
+ * Whether the next attempt of a generation draws on the retry budget. An attempt that its engine
+ * did not take has caused no work there, and the owner grants the engine no more requests until
+ * the engine's next status; so the refusals are limited without the budget. They come in bursts
+ * when an engine unloads a model or goes away while grants for it are under way.
+ */
+export function isRetryCharged(outcome: core.FailureOutcome): boolean {
+  return outcome !== "not_run";
+}
+
 /** Next step of a generation after a failed attempt. */
 export type GenerationRetry =
   /** Continues the generation at the endpoint that holds it. */
@@ -64,7 +74,7 @@
   if (attempt.attempts >= MAX_GENERATION_ATTEMPTS) {
     return { type: "stop", reason: "attempts_exhausted" };
   }
-  if (!attempt.budgetLeft) {
+  if (!attempt.budgetLeft && isRetryCharged(attempt.outcome)) {
     return { type: "stop", reason: "retry_budget_exhausted" };
   }
   if (attempt.streamed && attempt.deliveredTokens > 0) {
--- a/packages/policy/src/retry_policy_test.ts
+++ b/packages/policy/src/retry_policy_test.ts
@@ -48,6 +48,21 @@
   t.end();
 });
 
+// When an engine unloads a model, all grants under way are refused at once, which would use up the
+// budget although no engine has done any work.
+tap.t.test("attempts that no engine took need no retry budget, all others do", (t) => {
+  fc.assert(fc.property(generations, (attempt) => {
+    const open = { ...attempt, resumable: false, attempts: 1, budgetLeft: false, deadlineAt: 100 };
+    const retry = retries.chooseGenerationRetry(open, 0);
+    if (attempt.outcome === "not_run") return retry.type !== "stop";
+    return retry.type === "stop" && retry.reason === "retry_budget_exhausted";
+  }));
+  t.notOk(retries.isRetryCharged("not_run"));
+  t.ok(retries.isRetryCharged("failed"));
+  t.ok(retries.isRetryCharged("unknown"));
+  t.end();
+});
+
 tap.t.test("the outcome of a request is not_run only if every attempt was not_run", (t) => {
   fc.assert(fc.property(fc.array(outcomes, { minLength: 1 }), (attempts) => {
     const mergedOutcome = attempts.reduce(retries.mergeOutcomes);
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -113,7 +113,7 @@
   #updateEngine(info: types.EngineInfo, now: number): void {
     const engine = this.#engines.get(info.endpoint);
     if (engine === undefined) this.#addEngine(info, now);
-    else engine.info = info;
+    else engine.updateInfo(info);
     this.#grantQueuedRequests(now);
   }
 
@@ -235,8 +235,7 @@
       this.#getModel(stream.capacity.model).recordHoldTime(now - stream.grantedAt);
     }
     this.#closeStream(engine, stream);
-    // The engine gets no further grants until its next update.
-    if (end === "not_taken") engine.info = { ...engine.info, accepting: false };
+    if (end === "not_taken") engine.recordNotTaken(now);
     this.#grantModelRequests(this.#getModel(stream.capacity.model), now);
   }
 
--- a/packages/policy/src/scheduler_test.ts
+++ b/packages/policy/src/scheduler_test.ts
@@ -127,6 +127,7 @@
           endpoint,
           models: [MODEL],
           accepting: isAccepting,
+          statusReadAt: now,
           memoryLimitTokens: 2_000,
           maxBatch: MAX_BATCH,
         },
@@ -186,6 +187,7 @@
       endpoint: core.createId<core.EndpointId>("e"),
       models: [MODEL],
       accepting,
+      statusReadAt: 0,
       memoryLimitTokens: 2_000,
       maxBatch: MAX_BATCH,
     },
@@ -199,6 +201,43 @@
   t.end();
 });
 
+// The state of an engine is passed on again whenever the membership changes, each time with the
+// status that was read last. It must not bring grants back to an engine that was just killed or has
+// unloaded the model.
+tap.t.test("only a status read after a request was not taken brings grants back", (t) => {
+  const scheduler = new schedulers.Scheduler();
+  const updateEngine = (statusReadAt: number, now: number) =>
+    scheduler.handle({
+      type: "engine_updated",
+      engine: {
+        endpoint: core.createId<core.EndpointId>("e"),
+        models: [MODEL],
+        accepting: true,
+        statusReadAt,
+        memoryLimitTokens: 2_000,
+        maxBatch: MAX_BATCH,
+      },
+    }, now);
+  const addRequest = (id: string, now: number) => {
+    const request = core.createId<core.RequestId>(id);
+    const step = { rank: "urgent", workspace: "a", prompt: 1 };
+    const capacity = createCapacity(request, step, now);
+    return scheduler.handle({ type: "request_arrived", capacity }, now);
+  };
+  scheduler.handle({ type: "manifest_changed", manifest }, 0);
+  updateEngine(0, 10);
+  t.match(addRequest("r1", 20), [{ type: "granted" }]);
+  const request = core.createId<core.RequestId>("r1");
+  scheduler.handle({ type: "request_ended", request, end: "not_taken" }, 30);
+  updateEngine(0, 40);
+  t.notMatch(addRequest("r2", 50), [{ type: "granted" }]);
+  updateEngine(29, 60);
+  t.notMatch(addRequest("r3", 70), [{ type: "granted" }], "the read was sent before");
+  updateEngine(31, 80);
+  t.match(addRequest("r4", 90), [{ type: "granted" }]);
+  t.end();
+});
+
 // An engine without the cached prefixes would have to process the prompt again. If changes of the
 // cache were lost, removals may be among them, so the older prefixes are no longer relied on.
 tap.t.test("a request goes to the engine with its prefixes until cache reports are lost", (t) => {
@@ -211,6 +250,7 @@
       endpoint,
       models: [MODEL],
       accepting: true,
+      statusReadAt: 0,
       memoryLimitTokens: 9_000,
       maxBatch: 6,
     };
--- a/packages/policy/src/scheduler_types.ts
+++ b/packages/policy/src/scheduler_types.ts
@@ -8,6 +8,8 @@
   readonly models: readonly core.ModelName[];
   /** Whether the engine accepts new streams. */
   readonly accepting: boolean;
+  /** Time at which the read of the status that this state is derived from was sent. */
+  readonly statusReadAt: number;
   readonly memoryLimitTokens: number;
   /** Largest number of concurrent streams. */
   readonly maxBatch: number;
