Large fleets report through hubs and have one store watcher

Cause: beyond 12 processes, each was linked to all others of its zone, so that reports and the links of a start grew with the square of the zone; loads that other zones placed on engines were not known, so every zone filled the engines of the others as if they were empty; a watcher a zone, a read of the store for each refused key or route, and short leases made calls to the store the largest price. Change: two hubs a zone (the widest links first) pass the loads of their zone on, the first one also to the first hubs of the other zones; a tombstone withdraws the loads of a lost process; totals by engine are kept up to date; one watcher for the fleet, the first hub in contact with the store; processes that start leave the watch to others until they are linked; in a fleet with hubs a refusal relies on a confirmation within configApplyMs; announcements last 45 s; the start reads the store once. Small fleets stay a full mesh with a watcher a zone.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -24,10 +24,39 @@
   {
     name: "linked peers learn the addresses of processes that join later",
     file: "packages/gateway/src/peer_agent.ts",
-    from: "for (const target of message.peers) this.#recordPeer(target, false);",
+    from: "this.#addPeers(message.peers, false);",
     to: "",
     test: "platform/dist/fleet_test.js",
   },
+  {
+    name: "a hub passes on a report that another hub passed on first",
+    file: "packages/policy/src/load_relay.ts",
+    from: "if (!isNewlyDirect || isNewer(known.report, report)) return false;",
+    to: "return false;",
+    test: "packages/policy/dist/load_relay_test.js",
+  },
+  {
+    name: "an older report does not bring loads back",
+    file: "packages/policy/src/load_relay.ts",
+    from:
+      "if (report.incarnation !== known.incarnation) return report.incarnation > known.incarnation;",
+    to: "",
+    test: "packages/policy/dist/load_relay_test.js",
+  },
+  {
+    name: "loads of a hub that is gone are withdrawn",
+    file: "packages/gateway/src/peer_agent.ts",
+    from: "this.#loadExchange.recordUnreachable(process, now);",
+    to: "",
+    test: "packages/gateway/dist/peer_agent_test.js",
+  },
+  {
+    name: "a status read before a request was not taken brings no grants back",
+    file: "packages/policy/src/engine_state.ts",
+    from: "const isOutdated = info.statusReadAt <= this.#notTakenAt;",
+    to: "const isOutdated = false;",
+    test: "packages/policy/dist/scheduler_test.js",
+  },
   {
     name: "a process requests a newer configuration from the peer that has it",
     file: "packages/gateway/src/peer_agent.ts",
--- a/packages/gateway/src/announcer.ts
+++ b/packages/gateway/src/announcer.ts
@@ -13,10 +13,13 @@
   readonly random: core.RandomSource;
 }
 
-/** Time after which the store removes an announcement that is not renewed. */
-const ANNOUNCEMENT_TTL_MS = 12_000;
-/** A third of the TTL, so that two renewals may fail before the announcement expires. */
-const RENEW_INTERVAL_MS = 4_000;
+/**
+ * Time after which the store removes an announcement that is not renewed. Links show sooner that a
+ * process is gone; the announcement only makes its address known.
+ */
+const ANNOUNCEMENT_TTL_MS = 45_000;
+/** With jitter, two renewals may fail before the announcement expires. */
+const RENEW_INTERVAL_MS = 12_000;
 const RETRY_INTERVAL_MS = 1_000;
 
 /** Publishes the announcement and keeps renewing its lease. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import * as pools from "./connection_pool.ts";
 import type * as controls from "./engine_control.ts";
 import type * as contexts from "./gateway_context.ts";
+import * as gauges from "./gateway_metrics.ts";
 import type * as settingsModule from "./gateway_settings.ts";
 import * as handOvers from "./hand_over_agent.ts";
 import * as leaveWatchers from "./leave_watcher.ts";
@@ -40,7 +41,7 @@
 /** Idle time-out of callers' connections until a configuration is in force. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
-/** The load balancer sends new connections until its second readiness check after SIGTERM. */
+/** The load balancer sends new connections until its second check after SIGTERM. */
 const BALANCER_DETECTION_MS = 2_500;
 /** Part of the grace period reserved for closing the remaining requests before SIGKILL. */
 const EXIT_MARGIN_MS = 500;
@@ -87,10 +88,10 @@
       getConfig: () => this.#context.config.inForce?.config,
       onConfig: (config, now) => this.#storeAgent.applyPeerConfig(config, now),
     });
-    const { process, zone } = options.settings;
+    const { process, zone, linkMbps } = options.settings;
     this.#announcer = new announcers.Announcer({
       store: options.store,
-      self: { process, zone, address: this.#peerAgent.address },
+      self: { process, zone, address: this.#peerAgent.address, linkMbps },
       logger: options.logger,
       random: options.random,
     });
@@ -106,10 +107,16 @@
         policy.computeConfirmIntervalMs(this.#context.settings.bounds),
       isStoreWatcher: (now) => {
         const isInContact = this.#storeAgent.getOutageMs(now) === 0;
-        const self = { process, zone, isInContact };
-        return policy.isStoreWatcher(self, this.#peerAgent.listStoreContacts(now));
+        const self = { process, zone, linkMbps, isInContact };
+        const contacts = this.#peerAgent.listStoreContacts(now);
+        const { listedAt } = this.#storeAgent;
+        const knownPeers = this.#peerAgent.knownPeerCount;
+        const links = { listedAt, knownPeers, linkedPeers: contacts.length };
+        if (policy.isAwaitingLinks(links, now)) return false;
+        return policy.isStoreWatcher(self, contacts, this.#peerAgent.electionScope);
       },
-      onPeerAnnounced: (peer) => this.#peerAgent.recordAnnouncement(peer),
+      getElectionScope: () => this.#peerAgent.electionScope,
+      onPeersAnnounced: (peers) => this.#peerAgent.recordAnnouncements(peers),
       onPeerRemoved: (peer) => this.#peerAgent.recordWithdrawal(peer),
       onInstanceChanges: (changes) => this.#publishChanges(changes),
     });
@@ -122,6 +129,7 @@
     this.#requestHandler = new handlers.RequestHandler({
       context: this.#context,
       storeAgent: this.#storeAgent,
+      getElectionScope: () => this.#peerAgent.electionScope,
       callForwarder: new callForwarders.CallForwarder(this.#context),
       streamForwarder: this.#streamForwarder,
     });
@@ -147,7 +155,10 @@
     await listenAt(this.#healthServer, settings.health);
     await listenAt(this.#frontServer, settings.front);
     this.#expiryTimer = setInterval(() => this.#expireInstances(), EXPIRY_CHECK_INTERVAL_MS);
-    this.#registerMetrics();
+    gauges.registerGauges(this.#context, {
+      streamForwarder: this.#streamForwarder,
+      peerAgent: this.#peerAgent,
+    });
     logger.write("started", { front: `${settings.front.host}:${settings.front.port}` });
   }
 
@@ -324,37 +335,10 @@
     return budget;
   }
 
-  #registerMetrics(): void {
-    const { metrics, config, directory, pool, peerLoads } = this.#context;
-    const register = (name: string, help: string, readValue: () => number) =>
-      metrics.registerGauge(name, help, { read: readValue });
-    register(
-      "open_generations",
-      "Generations in progress.",
-      () => this.#streamForwarder.relays.size,
-    );
-    register(
-      "waiting_generations",
-      "Generations that wait.",
-      () => this.#streamForwarder.waitingCount,
-    );
-    register("config_release", "Release in force.", () => config.inForce?.config.release ?? 0);
-    register(
-      "config_age_seconds",
-      "Age of the last confirmation.",
-      () => config.getConfirmAgeMs(this.#options.clock.now()) / 1000,
-    );
-    register(
-      "usable_endpoints",
-      "Endpoints that get new work.",
-      () => directory.usableInstanceCount,
-    );
-    register("opened_connections", "Connections to endpoints.", () => pool.openedCount);
-    register("linked_processes", "Processes that report.", () => peerLoads.processCount);
-  }
-
   #answerHealthRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-    if (request.url === METRICS_PATH) return void writeMetrics(this.#context.metrics, response);
+    if (request.url === METRICS_PATH) {
+      return void gauges.writeMetrics(this.#context.metrics, response);
+    }
     if (request.url !== this.#context.settings.readinessPath) {
       response.writeHead(404);
       return void response.end();
@@ -364,15 +348,6 @@
   }
 }
 
-async function writeMetrics(
-  metrics: core.Metrics,
-  response: http.ServerResponse,
-): Promise<void> {
-  const metricsText = await metrics.formatText();
-  response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
-  response.end(metricsText);
-}
-
 /** Creates the candidate for an engine without a profile, which is limited by its slots only. */
 function createUnprofiledEngine(record: core.EndpointRecord): policy.EngineCandidate {
   return {
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -31,5 +31,7 @@
   readonly readinessPath: string;
   /** Address for links from other gateway processes. */
   readonly peers: ListenAddress;
+  /** Bandwidth of the VM's network link; 0 if it is not known. */
+  readonly linkMbps: number;
   readonly bounds: GatewayBounds;
 }
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -1,12 +1,17 @@
 /**
  * Maintains the links to other gateway processes (peers) and exchanges reports over them: the load
  * that each process places on engines, the endpoints that it has seen leaving, and its view of the
- * store.
+ * store. In a small fleet all processes are linked. In a larger one each is linked to the hubs of
+ * its zone, which pass the loads of the others on; notices and the view of the store spread through
+ * the reports of the hubs themselves.
  */
 
 import * as core from "@peridotvale/core";
 import * as peers from "@peridotvale/peers";
 import * as policy from "@peridotvale/policy";
+import * as planners from "./link_planner.ts";
+import * as exchanges from "./load_exchange.ts";
+import * as registries from "./peer_registry.ts";
 import type * as settingsModule from "./gateway_settings.ts";
 import type * as stores from "./routing_store.ts";
 
@@ -48,18 +53,6 @@
   readonly onConfig: (config: core.RoutingConfig, now: number) => void;
 }
 
-interface KnownPeer {
-  readonly target: peers.ProcessAddress;
-  readonly learnedAt: number;
-  /** Whether the store lists the peer; otherwise only other peers have reported it. */
-  readonly isAnnounced: boolean;
-  /**
-   * Whether the peer's announcement was removed from the store. Such a peer is dropped once it
-   * no longer sends reports.
-   */
-  isWithdrawn: boolean;
-}
-
 /** Contents of a peer's last report that are used later. */
 interface LastReport {
   readonly zone: core.ZoneName;
@@ -71,10 +64,8 @@
   readonly isStoreReachable: boolean;
 }
 
-/** Interval at which changes are reported to peers while few peers are linked. */
-const REPORT_INTERVAL_MS = 100;
-/** With more linked peers, the report interval grows in proportion to bound the report rate. */
-const MAX_PEERS_AT_SHORTEST_INTERVAL = 8;
+/** Interval at which links, targets and reports are checked. */
+const TICK_INTERVAL_MS = 100;
 /** Time without a message after which a link is closed and opened again. */
 const SILENT_LINK_TIMEOUT_MS = 2_000;
 /**
@@ -89,25 +80,37 @@
 const CONFIG_REQUEST_INTERVAL_MS = 200;
 /** Time for which reports include a newly learned process, since a single report may be lost. */
 const PEER_RELAY_DURATION_MS = 1_500;
-/** Time after which a process that the store does not list is dropped if it sends no reports. */
-const UNCONFIRMED_PEER_TTL_MS = 10_000;
-/** In fleets up to this size all processes are linked, in larger ones those of the same zone. */
-const MAX_FULL_MESH_PROCESSES = 12;
+/** Delay within which a hub passes on reports that change whose turn it is in a hand-over. */
+const URGENT_RELAY_DELAY_MS = 50;
+/** Failed connections in a row after which a peer is avoided as a hub. */
+const MAX_CONNECT_FAILURES = 3;
 
 export class PeerAgent {
   readonly #options: PeerAgentOptions;
   readonly #mesh: peers.PeerMesh;
-  readonly #knownPeers = new Map<core.ProcessId, KnownPeer>();
+  readonly #registry: registries.PeerRegistry;
+  readonly #schedule = new policy.ReportSchedule();
+  readonly #linkPlanner: planners.LinkPlanner;
+  readonly #loadExchange: exchanges.LoadExchange;
   readonly #lastReports = new Map<core.ProcessId, LastReport>();
   readonly #incarnation: number;
   #timer: NodeJS.Timeout | undefined;
-  #lastReportText = "";
-  #lastReportAt = -Infinity;
+  #urgentTimer: NodeJS.Timeout | undefined;
   #configRequestedAt = -Infinity;
 
   constructor(options: PeerAgentOptions) {
     const { settings, clock } = options;
     this.#options = options;
+    this.#registry = new registries.PeerRegistry(settings.process);
+    const { process, zone, linkMbps } = settings;
+    this.#linkPlanner = new planners.LinkPlanner({
+      self: { process, zone, linkMbps },
+      registry: this.#registry,
+      isLinked: (peer) => this.#lastReports.has(peer),
+      hasTarget: (peer) => this.#mesh.hasTarget(peer),
+    });
+    const { peerLoads } = options;
+    this.#loadExchange = new exchanges.LoadExchange({ process, zone, peerLoads });
     this.#incarnation = clock.readWallTime();
     this.#mesh = new peers.PeerMesh({
       ...settings.peers,
@@ -136,51 +139,51 @@
 
   /** Number of other processes that are known, whether linked or not. */
   get knownPeerCount(): number {
-    return this.#knownPeers.size;
+    return this.#registry.size;
+  }
+
+  /** Processes among which one watches the store. */
+  get electionScope(): policy.ElectionScope {
+    return this.#linkPlanner.isFullMesh ? "zone" : "fleet";
+  }
+
+  /** Number of open links. */
+  get linkCount(): number {
+    return this.#mesh.getLinks().length;
   }
 
   async start(): Promise<void> {
     await this.#mesh.start();
-    this.#timer = setInterval(() => this.#runTick(), REPORT_INTERVAL_MS);
+    this.#timer = setInterval(() => this.#runTick(), TICK_INTERVAL_MS);
   }
 
   stop(): void {
     clearInterval(this.#timer);
+    clearTimeout(this.#urgentTimer);
     this.#mesh.stop();
   }
 
-  /** Records a process that is announced in the store. */
-  recordAnnouncement(peer: stores.AnnouncedPeer): void {
-    this.#recordPeer(peer, true);
+  /** Records processes that are announced in the store. */
+  recordAnnouncements(announcedPeers: readonly stores.AnnouncedPeer[]): void {
+    this.#addPeers(announcedPeers, true);
   }
 
   /**
-   * Records a process that the store lists or a peer reports. Peers relay the processes that they
+   * Records processes that the store lists or a peer reports. Peers relay the processes that they
    * learn of, because not every process watches the store.
    */
-  #recordPeer(target: peers.ProcessAddress, isAnnounced: boolean): void {
-    if (target.process === this.#options.settings.process) return;
-    const knownPeer = this.#knownPeers.get(target.process);
-    const isUnchanged = knownPeer !== undefined && !knownPeer.isWithdrawn &&
-      knownPeer.target.address === target.address;
-    if (isUnchanged && (knownPeer.isAnnounced || !isAnnounced)) return;
-    // A changed address is accepted from the store only.
-    if (knownPeer !== undefined && !isAnnounced) return;
-    const learnedAt = isUnchanged ? knownPeer.learnedAt : this.#options.clock.now();
-    const { process, zone, address } = target;
-    this.#knownPeers.set(process, {
-      target: { process, zone, address },
-      learnedAt,
-      isAnnounced,
-      isWithdrawn: false,
-    });
-    this.#updateTargets();
+  #addPeers(targets: readonly peers.ProcessAddress[], isAnnounced: boolean): void {
+    const now = this.#options.clock.now();
+    let hasChanged = false;
+    for (const target of targets) {
+      hasChanged = this.#registry.addPeer(target, { isAnnounced, now }) || hasChanged;
+    }
+    if (hasChanged) this.#updateTargets(now);
   }
 
   /** Records that the announcement of `process` was removed from the store. */
   recordWithdrawal(process: core.ProcessId): void {
-    const knownPeer = this.#knownPeers.get(process);
-    if (knownPeer !== undefined) knownPeer.isWithdrawn = true;
+    this.#registry.recordWithdrawal(process);
   }
 
   /** Sends a report immediately, for example when peers wait for their turn in a hand-over. */
@@ -193,7 +196,8 @@
     const contacts: policy.StoreContact[] = [];
     for (const [process, lastReport] of this.#lastReports) {
       const confirmAgeMs = lastReport.isStoreReachable ? now - lastReport.confirmedAt : Infinity;
-      contacts.push({ process, zone: lastReport.zone, confirmAgeMs });
+      const linkMbps = this.#registry.getAddress(process)?.linkMbps ?? 0;
+      contacts.push({ process, zone: lastReport.zone, linkMbps, confirmAgeMs });
     }
     return contacts;
   }
@@ -212,90 +216,109 @@
 
   #runTick(): void {
     const now = this.#options.clock.now();
+    const { peerLoads } = this.#options;
     this.#mesh.closeSilentLinks(SILENT_LINK_TIMEOUT_MS, now);
-    this.#options.peerLoads.expireReports(now);
-    let hasChanged = false;
-    for (const [process, knownPeer] of this.#knownPeers) {
-      const isUnconfirmed = !knownPeer.isAnnounced &&
-        now - knownPeer.learnedAt > UNCONFIRMED_PEER_TTL_MS;
-      if (!knownPeer.isWithdrawn && !isUnconfirmed) continue;
-      if (this.#options.peerLoads.hasReport(process)) continue;
-      this.#knownPeers.delete(process);
-      hasChanged = true;
-    }
-    if (hasChanged) this.#updateTargets();
+    this.#loadExchange.expireReports(now);
+    const hasDroppedPeers = this.#registry.expirePeers(
+      now,
+      (process) => peerLoads.hasReport(process),
+    );
+    const hasNewSuspects = this.#recordUnreachablePeers(now);
+    const hasChanged = hasDroppedPeers || hasNewSuspects;
+    if (hasChanged || this.#linkPlanner.isUpdateDue(now)) this.#updateTargets(now);
     this.#mesh.runTick(now);
-    const linkedCount = this.#lastReports.size;
-    const intervalMs = REPORT_INTERVAL_MS *
-      Math.max(1, linkedCount / MAX_PEERS_AT_SHORTEST_INTERVAL);
-    if (now - this.#lastReportAt < intervalMs) return;
-    this.#report(now, now - this.#lastReportAt >= this.#options.getReportRefreshIntervalMs());
+    const { isFullMesh } = this.#linkPlanner;
+    const linkedPeers = this.#lastReports.size;
+    if (!this.#schedule.isCheckDue({ linkedPeers, isFullMesh }, now)) return;
+    const refreshIntervalMs = this.#options.getReportRefreshIntervalMs();
+    this.#report(now, this.#schedule.getAgeMs(now) >= refreshIntervalMs);
+  }
+
+  /** Withdraws the loads of peers that cannot be reached. Returns whether there are new ones. */
+  #recordUnreachablePeers(now: number): boolean {
+    let hasNewSuspects = false;
+    for (const process of this.#mesh.listFailingTargets(MAX_CONNECT_FAILURES)) {
+      if (!this.#registry.recordUnreachable(process, now)) continue;
+      hasNewSuspects = true;
+      this.#loadExchange.recordUnreachable(process, now);
+    }
+    return hasNewSuspects;
   }
 
   #report(now: number, isForced: boolean): void {
     const report = this.#options.createReport(now);
-    const reportText = JSON.stringify([
-      report.loads,
-      report.notices,
-      report.store?.release,
-      report.store?.isReachable,
-      report.store?.changed,
-      this.#listPeersLearnedSince(now - PEER_RELAY_DURATION_MS),
-    ]);
-    if (!isForced && reportText === this.#lastReportText) return;
-    this.#lastReportText = reportText;
-    this.#lastReportAt = now;
-    const relayedPeers = this.#listPeersLearnedSince(now - PEER_RELAY_DURATION_MS);
-    for (const link of this.#mesh.getLinks()) this.#sendReport(link, report, { now, relayedPeers });
+    const relayedPeers = this.#listRelayedPeers(now);
+    const { store, notices, loads } = report;
+    const { release, isReachable, changed } = store ?? {};
+    const audiences = this.#schedule.takeAudiences({
+      loads: JSON.stringify(loads),
+      news: JSON.stringify([notices, release, isReachable, changed, relayedPeers]),
+      hasRelayedReports: this.#isHub() && this.#loadExchange.hasQueuedReports("own_zone"),
+      isForced,
+      isFullMesh: this.#linkPlanner.isFullMesh,
+    }, now);
+    for (const audience of audiences) {
+      const relayed = this.#isHub() ? this.#loadExchange.takeReports(audience) : [];
+      for (const link of this.#mesh.getLinks()) {
+        if (link.peer === undefined || this.#getAudience(link.peer) !== audience) continue;
+        this.#sendReport(link, report, { now, relayedPeers, relayed });
+      }
+    }
+  }
+
+  #getAudience(peer: policy.MemberInfo): policy.RelayAudience {
+    return peer.zone === this.#options.settings.zone ? "own_zone" : "other_zones";
   }
 
   #sendReport(
     link: peers.PeerLink,
     report: OwnReport,
-    options: { readonly now: number; readonly relayedPeers: readonly peers.ProcessAddress[] },
+    options: {
+      readonly now: number;
+      readonly relayedPeers: readonly peers.ProcessAddress[];
+      readonly relayed: readonly policy.RelayedLoads[];
+    },
   ): void {
     if (link.peer === undefined) return;
     const answersSentAt = this.#lastReports.get(link.peer.process)?.sentAt;
-    const { now, relayedPeers } = options;
-    link.send({
-      type: "process_report",
-      ...report,
-      sentAt: now,
-      answersSentAt,
-      peers: relayedPeers,
-    });
-  }
-
-  /** Returns the addresses of the processes that were learned of at or after `since`. */
-  #listPeersLearnedSince(since: number): peers.ProcessAddress[] {
-    const addresses: peers.ProcessAddress[] = [];
-    for (const knownPeer of this.#knownPeers.values()) {
-      if (knownPeer.learnedAt >= since && !knownPeer.isWithdrawn) addresses.push(knownPeer.target);
-    }
-    return addresses;
+    const { now, relayedPeers, relayed } = options;
+    const timing = { sentAt: now, answersSentAt };
+    link.send({ type: "process_report", ...report, ...timing, peers: relayedPeers, relayed });
   }
 
   /**
-   * Updates the set of peers to which this process opens links. Of two linked processes, the one
-   * with the lower id opens the link.
+   * Returns the processes that were learned of recently. A process that is not a hub passes on
+   * only those that it has read from the store itself; the hubs know all others.
    */
-  #updateTargets(): void {
-    const { process: self, zone } = this.#options.settings;
-    const isFullMesh = this.#knownPeers.size < MAX_FULL_MESH_PROCESSES;
-    const targets: peers.PeerTarget[] = [];
-    for (const { target } of this.#knownPeers.values()) {
-      const isSelected = isFullMesh || target.zone === zone;
-      if (isSelected && self < target.process) targets.push(target);
-    }
-    this.#mesh.updateTargets(targets, this.#options.clock.now());
+  #listRelayedPeers(now: number): peers.ProcessAddress[] {
+    const onlyAnnounced = !this.#linkPlanner.isFullMesh && !this.#isHub();
+    return this.#registry.listLearnedSince(now - PEER_RELAY_DURATION_MS, { onlyAnnounced });
+  }
+
+  /** Whether this process is a hub, by its own choice or by that of others in its zone. */
+  #isHub(): boolean {
+    if (this.#linkPlanner.isFullMesh) return false;
+    if (this.#linkPlanner.isOwnHub) return true;
+    const { zone } = this.#options.settings;
+    return this.#mesh.getLinks().some((link) => !link.isOutgoing && link.peer?.zone === zone);
+  }
+
+  #updateTargets(now: number): void {
+    this.#mesh.updateTargets(this.#linkPlanner.planTargets(now), now);
   }
 
   #onLinkOpened(link: peers.PeerLink): void {
     this.#options.logger.write("peer_linked", { peer: link.peer?.process });
-    if (link.peer !== undefined) this.#recordPeer(link.peer, false);
+    // The bandwidth becomes known with the announcement.
+    if (link.peer !== undefined) this.#addPeers([{ ...link.peer, linkMbps: 0 }], false);
     const now = this.#options.clock.now();
-    const relayedPeers = this.#listPeersLearnedSince(-Infinity);
-    this.#sendReport(link, this.#options.createReport(now), { now, relayedPeers });
+    const relayedPeers = this.#linkPlanner.isFullMesh || this.#isHub()
+      ? this.#registry.listLearnedSince(-Infinity, { onlyAnnounced: false })
+      : this.#listRelayedPeers(now);
+    const relayed = link.peer !== undefined && this.#isHub()
+      ? this.#loadExchange.listAll(this.#getAudience(link.peer))
+      : [];
+    this.#sendReport(link, this.#options.createReport(now), { now, relayedPeers, relayed });
   }
 
   #onMessage(link: peers.PeerLink, message: peers.PeerMessage): void {
@@ -323,8 +346,14 @@
     message: peers.ProcessReportMessage,
   ): void {
     const now = this.#options.clock.now();
-    const { process, zone } = peer;
-    this.#options.peerLoads.applyReport(process, message.loads, now);
+    const { process, zone, incarnation } = peer;
+    const { loads, sentAt } = message;
+    const report = { process, zone, incarnation, sentAt, loads, isLost: false };
+    const hasMoveClaims = this.#loadExchange.applyReports([report, ...message.relayed], process, {
+      now,
+      ttlMs: this.#linkPlanner.isFullMesh ? policy.REPORT_TTL_MS : policy.RELAYED_REPORT_TTL_MS,
+    });
+    if (hasMoveClaims && this.#isHub()) this.#scheduleUrgentReport();
     const acknowledgedReportSentAt = message.answersSentAt;
     const confirmAgeMs = message.store?.confirmAgeMs ?? Infinity;
     const confirmedAt = acknowledgedReportSentAt === undefined
@@ -341,7 +370,7 @@
     const isContinuous = previousReport !== undefined &&
       now - previousReport.receivedAt < MAX_REPORT_GAP_MS;
     this.#options.onReport(message, { acknowledgedReportSentAt, isContinuous, now });
-    for (const target of message.peers) this.#recordPeer(target, false);
+    this.#addPeers(message.peers, false);
     this.#sendConfigRequest(link, message.store?.release ?? 0, now);
   }
 
@@ -352,8 +381,18 @@
     link.send({ type: "config_wanted" });
   }
 
+  #scheduleUrgentReport(): void {
+    this.#urgentTimer ??= setTimeout(() => {
+      this.#urgentTimer = undefined;
+      this.#report(this.#options.clock.now(), false);
+    }, URGENT_RELAY_DELAY_MS);
+  }
+
   #onLinkLost(process: core.ProcessId): void {
     this.#lastReports.delete(process);
     this.#options.logger.write("peer_lost", { peer: process });
+    // A process that has lost one of its hubs hears of that hub's loads through the other one.
+    if (!this.#isHub()) return;
+    this.#loadExchange.recordLinkLost(process, this.#options.clock.now());
   }
 }
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -1,7 +1,7 @@
 /**
  * Checks each request before it is forwarded: request id, size of head and body, route,
  * API key and deadline. A request whose route or key is unknown waits until the store has
- * confirmed the configuration, since the route or key may have just been added.
+ * confirmed the configuration, unless it has done so recently: the route or key may be new.
  */
 
 import type * as http from "node:http";
@@ -17,6 +17,7 @@
 export interface RequestHandlerOptions {
   readonly context: contexts.GatewayContext;
   readonly storeAgent: agents.StoreAgent;
+  readonly getElectionScope: () => policy.ElectionScope;
   readonly callForwarder: calls.CallForwarder;
   readonly streamForwarder: streams.StreamForwarder;
 }
@@ -33,7 +34,7 @@
  * Share of the configuration's maximum age at which a confirmation starts in the background, so
  * that requests rarely have to wait for one.
  */
-const CONFIG_REFRESH_AGE_SHARE = 0.5;
+const CONFIG_REFRESH_AGE_SHARE = 0.75;
 /**
  * Maximum age of a pending confirmation that a request may wait for. If the pending one is older,
  * the request starts a new confirmation, since the older one may miss a route or key that was
@@ -172,8 +173,8 @@
 
   /**
    * Finds the route of a request, and refuses the request if there is none. A request is
-   * refused for its route or key only after the store has confirmed the configuration, since the
-   * route or key may have just been added. With strict revocation, a request with a key also
+   * refused for its route or key only if the store has confirmed the configuration within the
+   * bound for a new one, since the route or key may have been added. With strict revocation, a request with a key also
    * waits for a confirmation if the last one is too old.
    */
   async #findConfirmedRoute(
@@ -186,7 +187,8 @@
     const isTooOld = () => context.config.getConfirmAgeMs(context.clock.now()) > maxAgeMs;
     const needsFreshConfig = bounds.isRevocationStrict && resolution.type === "routed" &&
       resolution.routed.workspace !== undefined;
-    if (resolution.type !== "routed" || (needsFreshConfig && isTooOld())) {
+    const isRefused = resolution.type !== "routed" && !this.#isRefusalConfirmed();
+    if (isRefused || (needsFreshConfig && isTooOld())) {
       const isConfirmed = await this.#confirmConfig();
       resolution = this.#resolveRoute(request);
       if (!isConfirmed && (resolution.type !== "routed" || (needsFreshConfig && isTooOld()))) {
@@ -201,6 +203,16 @@
     return undefined;
   }
 
+  /** Whether a route or key that is unknown here cannot have been in force longer than allowed. */
+  #isRefusalConfirmed(): boolean {
+    const { context } = this.#options;
+    const maxAgeMs = policy.computeRefusalConfirmAgeMs(
+      context.settings.bounds,
+      this.#options.getElectionScope(),
+    );
+    return context.config.getConfirmAgeMs(context.clock.now()) <= maxAgeMs;
+  }
+
   /**
    * Whether the configuration should be confirmed in the background. During an outage of the
    * store this is not needed, because the store agent retries by itself.
--- a/packages/gateway/src/routing_store.ts
+++ b/packages/gateway/src/routing_store.ts
@@ -25,6 +25,8 @@
   readonly zone: core.ZoneName;
   /** Address at which the process accepts links from peers, as `host:port`. */
   readonly address: string;
+  /** Bandwidth of its VM's network link; 0 if it is not known. */
+  readonly linkMbps: number;
 }
 
 /** Complete contents of the store. */
--- a/packages/gateway/src/store_agent.ts
+++ b/packages/gateway/src/store_agent.ts
@@ -5,18 +5,17 @@
  */
 
 import * as core from "@peridotvale/core";
-import type * as policy from "@peridotvale/policy";
+import * as policy from "@peridotvale/policy";
 import type * as stores from "./routing_store.ts";
 
 /** Longest duration of one watch call; below the idle time-outs of intermediate proxies. */
 const MAX_WATCH_DURATION_MS = 10_000;
-/**
- * A process that does not watch the store relies on confirmations that peers report. It reads the
- * store itself if the last one is older than this number of confirmation intervals.
- */
-const MAX_RELAYED_CONFIRM_INTERVAL_COUNT = 2;
 /** Interval at which the age of the last confirmation is checked. */
 const CONFIRMATION_POLL_INTERVAL_MS = 200;
+/** Interval at which a process that has just started checks whether its first listing ended. */
+const FIRST_LISTING_POLL_MS = 20;
+/** Pause before the next watch call after one that returned changes. */
+const WATCH_BATCH_MS = 40;
 /** Time-out of a read; even a slow store answers within 250 ms. */
 const READ_TIMEOUT_MS = 900;
 /** Pause after a failed call; it doubles with each failure so as not to flood the store. */
@@ -46,13 +45,16 @@
   readonly isStoreWatcher: (now: number) => boolean;
   /** Called after a newer configuration has come into force. */
   readonly onConfig: (now: number) => void;
-  readonly onPeerAnnounced: (peer: stores.AnnouncedPeer) => void;
+  readonly getElectionScope: () => policy.ElectionScope;
+  readonly onPeersAnnounced: (peers: readonly stores.AnnouncedPeer[]) => void;
   readonly onPeerRemoved: (process: core.ProcessId) => void;
   readonly onInstanceChanges: (changes: readonly policy.InstanceChange[], now: number) => void;
 }
 
 export class StoreAgent {
   readonly #options: StoreAgentOptions;
+  /** This process's place, from 0 to 1, among those that read the store if the watcher fails. */
+  readonly #fallbackJitter: number;
   #isStopped = false;
   /** Store revision up to which all changes are known; undefined if a listing is needed. */
   #watchedRevision: number | undefined;
@@ -64,7 +66,8 @@
   #lastSuccessAt = -Infinity;
   /** Time at which a read showed that the watch lags behind; undefined if the watch does not. */
   #watchLagSince: number | undefined;
-  #hasListing = false;
+  #listedAt: number | undefined;
+  #hasTriedListing = false;
   /** Highest release that a peer has reported. */
   #peerRelease = 0;
   /** Time at which a peer first reported a newer release than the one in force here. */
@@ -72,11 +75,17 @@
 
   constructor(options: StoreAgentOptions) {
     this.#options = options;
+    this.#fallbackJitter = options.random.next();
   }
 
   /** Whether the store has been listed at least once. */
   get hasListing(): boolean {
-    return this.#hasListing;
+    return this.#listedAt !== undefined;
+  }
+
+  /** Time of the first listing; undefined before it. */
+  get listedAt(): number | undefined {
+    return this.#listedAt;
   }
 
   /** Returns the time since the first failed call of the current outage; 0 while calls succeed. */
@@ -116,6 +125,11 @@
   async #runConfirmations(): Promise<void> {
     let backoffMs = MIN_BACKOFF_MS;
     while (!this.#isStopped) {
+      // The first listing contains the configuration, so that no separate read is needed.
+      if (!this.#hasTriedListing) {
+        await core.waitFor(FIRST_LISTING_POLL_MS);
+        continue;
+      }
       if (this.#isConfirmationRecent() && !this.#isRetryDue()) {
         await core.waitFor(CONFIRMATION_POLL_INTERVAL_MS);
         continue;
@@ -135,11 +149,13 @@
 
   /** Whether the last confirmation, by this process or by a peer, is recent enough. */
   #isConfirmationRecent(): boolean {
-    const { config, clock, isStoreWatcher } = this.#options;
+    const { config, clock, isStoreWatcher, getElectionScope } = this.#options;
     const now = clock.now();
-    const maxIntervalCount = isStoreWatcher(now) ? 1 : MAX_RELAYED_CONFIRM_INTERVAL_COUNT;
-    return config.getConfirmAgeMs(now) <
-      maxIntervalCount * this.#options.getConfirmationIntervalMs();
+    const intervalMs = this.#options.getConfirmationIntervalMs();
+    const maxAgeMs = isStoreWatcher(now)
+      ? intervalMs
+      : policy.computeFallbackAgeMs(intervalMs, getElectionScope(), this.#fallbackJitter);
+    return config.getConfirmAgeMs(now) < maxAgeMs;
   }
 
   async #readConfig(sentAt: number): Promise<boolean> {
@@ -161,7 +177,7 @@
   async #runWatches(): Promise<void> {
     let backoffMs = MIN_BACKOFF_MS;
     while (!this.#isStopped) {
-      if (this.#hasListing && !this.#options.isStoreWatcher(this.#options.clock.now())) {
+      if (this.hasListing && !this.#options.isStoreWatcher(this.#options.clock.now())) {
         await core.waitFor(WATCHER_CHECK_INTERVAL_MS);
         continue;
       }
@@ -182,13 +198,14 @@
     const sentAt = clock.now();
     const listing = await store.listEntries({ timeoutMs: READ_TIMEOUT_MS });
     const now = clock.now();
+    this.#hasTriedListing = true;
     if (listing.isErr()) {
       this.#recordFailure(listing.error, { sentAt });
       return false;
     }
     this.#recordSuccess(now);
     this.#watchedRevision = listing.value.storeRevision;
-    this.#hasListing = true;
+    this.#listedAt ??= now;
     for (const detail of listing.value.entryErrors) logger.write("entry_unreadable", { detail });
     const changes = directory.applyListing(listing.value.records, {
       revision: listing.value.storeRevision,
@@ -200,7 +217,7 @@
       changes: changes.length,
     });
     this.#options.onInstanceChanges(changes, now);
-    for (const peer of listing.value.peers) this.#options.onPeerAnnounced(peer);
+    this.#options.onPeersAnnounced(listing.value.peers);
     const config = listing.value.config;
     if (config !== undefined) this.#adoptConfig(config, { sentAt, from: "listing" });
     return true;
@@ -238,6 +255,8 @@
       this.#recordSuccess(now);
       this.#watchedRevision = Math.max(afterRevision, result.value.storeRevision);
       for (const change of result.value.changes) this.#applyChange(change, now);
+      // Changes that follow closely, as when many processes start, arrive with the next call.
+      if (result.value.changes.length > 0) await core.waitFor(WATCH_BATCH_MS);
       return true;
     }
     // A failed watch may have missed changes, so a new listing is needed.
@@ -264,7 +283,7 @@
           now,
         );
       case "peer":
-        return this.#options.onPeerAnnounced(change.peer);
+        return this.#options.onPeersAnnounced([change.peer]);
       case "peer_removed":
         return this.#options.onPeerRemoved(change.process);
       case "unreadable":
--- a/packages/peers/src/codec.ts
+++ b/packages/peers/src/codec.ts
@@ -63,8 +63,28 @@
   readonly keys: readonly (readonly [string, core.KeyOwner])[] | undefined;
 }
 
+/**
+ * Encoded loads that a hub passes on, without field names because a hub sends them to its whole
+ * zone. `loads` holds five values per engine: instance, runs, reserved tokens, unread prompt
+ * tokens, value of the next move.
+ */
+type WireRelayedLoads = readonly [
+  process: core.ProcessId,
+  zone: core.ZoneName,
+  incarnation: number,
+  sentAt: number,
+  isLost: boolean,
+  loads: readonly (string | number)[],
+];
+
+type WireReport = Omit<messages.ProcessReportMessage, "relayed"> & {
+  /** Missing if the sender runs a version without hubs. */
+  readonly relayed?: readonly WireRelayedLoads[];
+};
+
 type WireMessage =
-  | Exclude<messages.PeerMessage, messages.ConfigMessage>
+  | Exclude<messages.PeerMessage, messages.ConfigMessage | messages.ProcessReportMessage>
+  | WireReport
   | WireConfig
   | WireHeartbeat
   | WireEvents;
@@ -99,12 +119,14 @@
   if (message.type === "heartbeat") return encodeHeartbeat(message);
   if (message.type === "capacity_events") return encodeEvents(message);
   if (message.type === "config") return encodeConfig(message);
+  if (message.type === "process_report") return encodeReport(message);
   return message;
 }
 
 function decodeWire(wire: WireMessage): messages.PeerMessage {
   if (!Array.isArray(wire)) {
     const message = wire as Exclude<WireMessage, WireHeartbeat | WireEvents>;
+    if (message.type === "process_report") return decodeReport(message);
     return message.type === "config" ? decodeConfig(message) : message;
   }
   const [first] = wire as readonly unknown[];
@@ -146,6 +168,37 @@
   return { type: "config", config: { ...wire.config, services, keys } };
 }
 
+function encodeReport(message: messages.ProcessReportMessage): WireReport {
+  const relayed = message.relayed.map((report): WireRelayedLoads => {
+    const loads: (string | number)[] = [];
+    for (const load of report.loads) {
+      const { instance, runs, reservedTokens, unreadPromptTokens, moveValue } = load;
+      loads.push(instance, runs, reservedTokens, unreadPromptTokens, moveValue);
+    }
+    const { process, zone, incarnation, sentAt, isLost } = report;
+    return [process, zone, incarnation, sentAt, isLost, loads];
+  });
+  return { ...message, relayed };
+}
+
+function decodeReport(wire: WireReport): messages.ProcessReportMessage {
+  const relayed = (wire.relayed ?? []).map((report): policy.RelayedLoads => {
+    const [process, zone, incarnation, sentAt, isLost, values] = report;
+    const loads: policy.EngineLoad[] = [];
+    for (let index = 0; index + 4 < values.length; index += 5) {
+      loads.push({
+        instance: values[index] as core.InstanceId,
+        runs: Number(values[index + 1]),
+        reservedTokens: Number(values[index + 2]),
+        unreadPromptTokens: Number(values[index + 3]),
+        moveValue: Number(values[index + 4]),
+      });
+    }
+    return { process, zone, incarnation, sentAt, isLost, loads };
+  });
+  return { ...wire, relayed };
+}
+
 function encodeEvents(message: messages.CapacityEventsMessage): WireEvents {
   const reports: (string | number)[] = [];
   const events: policy.SchedulerEvent[] = [];
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -89,6 +89,8 @@
   readonly store: StoreView | undefined;
   /** Processes that the sender discovered recently; on a new link, all that it knows. */
   readonly peers: readonly ProcessAddress[];
+  /** Loads of other processes that the sender, a hub, passes on since its last report. */
+  readonly relayed: readonly policy.RelayedLoads[];
 }
 
 /** Identity, zone and address of an entry process. */
@@ -96,6 +98,8 @@
   readonly process: core.ProcessId;
   readonly zone: core.ZoneName;
   readonly address: string;
+  /** Bandwidth of its VM's network link; 0 if it is not known. */
+  readonly linkMbps: number;
 }
 
 /** What one process knows of the store: its configuration, reachability and endpoint records. */
--- a/packages/peers/src/peer_mesh.ts
+++ b/packages/peers/src/peer_mesh.ts
@@ -119,6 +119,22 @@
     }
   }
 
+  /** Whether this process opens and keeps a link to `process`. */
+  hasTarget(process: core.ProcessId): boolean {
+    return this.#outgoing.has(process);
+  }
+
+  /** Lists the targets without a link after at least `minFailures` failed connections in a row. */
+  listFailingTargets(minFailures: number): core.ProcessId[] {
+    const failingTargets: core.ProcessId[] = [];
+    for (const [process, peer] of this.#outgoing) {
+      if (peer.failures >= minFailures && peer.link?.peer === undefined) {
+        failingTargets.push(process);
+      }
+    }
+    return failingTargets;
+  }
+
   /** Returns the outgoing link to `process` if it is open and the peer's hello has arrived. */
   getLink(process: core.ProcessId): links.PeerLink | undefined {
     const link = this.#outgoing.get(process)?.link;
--- a/packages/policy/src/engine_placement_test.ts
+++ b/packages/policy/src/engine_placement_test.ts
@@ -64,7 +64,10 @@
   const candidates = createCandidates(2);
   const [busy, idle] = candidates.map((candidate) => candidate.record.instance);
   const load = { runs: 4, reservedTokens: 16_000, unreadPromptTokens: 0, moveValue: 0 };
-  peerLoads.applyReport(core.createId("other"), [{ instance: busy!, ...load }], 0);
+  peerLoads.applyReport(core.createId("other"), [{ instance: busy!, ...load }], {
+    now: 0,
+    ttlMs: peers.REPORT_TTL_MS,
+  });
   for (let i = 0; i < 5; i++) {
     t.equal(placement.chooseEngine(candidates, LONG_RUN_SIZE, createOptions(i))?.instance, idle);
   }
--- a/packages/policy/src/peer_loads.ts
+++ b/packages/policy/src/peer_loads.ts
@@ -30,31 +30,49 @@
 
 interface ReceivedReport {
   readonly loads: ReadonlyMap<core.InstanceId, EngineLoad>;
-  readonly receivedAt: number;
+  readonly expiresAt: number;
 }
 
 /** A report not renewed for this long is dropped; reports arrive at least every half second. */
-const REPORT_TTL_MS = 2_500;
+export const REPORT_TTL_MS = 2_500;
 
-/** Latest load report of each peer. */
+const NO_LOAD: LoadSum = { runs: 0, reservedTokens: 0, unreadPromptTokens: 0 };
+
+/**
+ * Latest load report of each peer. The sums by engine are kept up to date with each report,
+ * because they are read for every engine and every placement.
+ */
 export class PeerLoads {
   readonly #reports = new Map<core.ProcessId, ReceivedReport>();
+  readonly #totals = new Map<core.InstanceId, LoadSum>();
 
-  /** Replaces the previous report of `process`. */
-  applyReport(process: core.ProcessId, loads: readonly EngineLoad[], now: number): void {
+  /** Replaces the previous report of `process`. The new one is dropped after `ttlMs`. */
+  applyReport(
+    process: core.ProcessId,
+    loads: readonly EngineLoad[],
+    options: { readonly now: number; readonly ttlMs: number },
+  ): void {
+    this.dropProcess(process);
     const loadByInstance = new Map(loads.map((load) => [load.instance, load]));
-    this.#reports.set(process, { loads: loadByInstance, receivedAt: now });
+    this.#reports.set(process, {
+      loads: loadByInstance,
+      expiresAt: options.now + options.ttlMs,
+    });
+    for (const load of loadByInstance.values()) this.#addToTotal(load, 1);
   }
 
   /** Drops the report of a process that has ended. */
   dropProcess(process: core.ProcessId): void {
+    const report = this.#reports.get(process);
+    if (report === undefined) return;
     this.#reports.delete(process);
+    for (const load of report.loads.values()) this.#addToTotal(load, -1);
   }
 
   /** Drops reports that were not renewed in time. */
   expireReports(now: number): void {
     for (const [process, report] of this.#reports) {
-      if (now - report.receivedAt > REPORT_TTL_MS) this.#reports.delete(process);
+      if (now > report.expiresAt) this.dropProcess(process);
     }
   }
 
@@ -69,17 +87,7 @@
 
   /** Returns the load of all reporting processes on `instance`. */
   getTotalLoad(instance: core.InstanceId): LoadSum {
-    let runs = 0;
-    let reservedTokens = 0;
-    let unreadPromptTokens = 0;
-    for (const report of this.#reports.values()) {
-      const load = report.loads.get(instance);
-      if (load === undefined) continue;
-      runs += load.runs;
-      reservedTokens += load.reservedTokens;
-      unreadPromptTokens += load.unreadPromptTokens;
-    }
-    return { runs, reservedTokens, unreadPromptTokens };
+    return this.#totals.get(instance) ?? NO_LOAD;
   }
 
   /** Lists processes with at least one run at `instance`. */
@@ -100,4 +108,14 @@
     }
     return claims;
   }
+
+  #addToTotal(load: EngineLoad, sign: 1 | -1): void {
+    const total = this.#totals.get(load.instance) ?? NO_LOAD;
+    const runs = total.runs + sign * load.runs;
+    const reservedTokens = total.reservedTokens + sign * load.reservedTokens;
+    const unreadPromptTokens = total.unreadPromptTokens + sign * load.unreadPromptTokens;
+    // An engine without runs is dropped, so that rounding errors do not add up.
+    if (runs === 0) this.#totals.delete(load.instance);
+    else this.#totals.set(load.instance, { runs, reservedTokens, unreadPromptTokens });
+  }
 }
--- a/packages/policy/src/store_watcher_election.ts
+++ b/packages/policy/src/store_watcher_election.ts
@@ -1,21 +1,31 @@
 /**
- * Elects the store watcher of each zone: the one process that watches the store and confirms the
- * configuration, and whose results the zone's other processes receive. This saves calls to a store
- * that counts each call, in fleets where every process would otherwise make the same calls.
+ * Elects the store watcher: the one process that watches the store and confirms the configuration,
+ * and whose results the others receive. This saves calls to a store that counts each call. A fleet
+ * in which all processes are linked has a watcher in each zone; one in which hubs pass reports on
+ * has a single watcher, so that the calls do not grow with the fleet.
  */
 
-import * as core from "@peridotvale/core";
+import type * as core from "@peridotvale/core";
+import * as hubs from "./hub_selection.ts";
 
 /** Contact of another process with the store, as that process reported it. */
 export interface StoreContact {
   readonly process: core.ProcessId;
   readonly zone: core.ZoneName;
+  /** Bandwidth of its VM's network link; 0 if it is not known. */
+  readonly linkMbps: number;
   /** Age of its last confirmation of the configuration; Infinity while the process's calls fail. */
   readonly confirmAgeMs: number;
 }
 
-/** A process whose last confirmation is older than this is not in contact with the store. */
-export const MAX_CONTACT_AGE_MS = 2_000;
+/** Processes among which one watcher is elected. */
+export type ElectionScope = "zone" | "fleet";
+
+/**
+ * A process whose last confirmation is older than this is not in contact with the store. Through
+ * hubs, a confirmation arrives later by two report intervals.
+ */
+const MAX_CONTACT_AGES_MS = { zone: 2_000, fleet: 3_500 };
 
 const MAX_CONFIRM_INTERVAL_MS = 2_000;
 /**
@@ -49,25 +59,83 @@
   return Math.min(MAX_REPORT_INTERVAL_MS, bounds.keyRevocationMs / REPORTS_PER_REVOCATION_BOUND);
 }
 
+/** Time after the first listing within which links to the other processes are opened. */
+const LINKING_MS = 2_000;
+
+/**
+ * Whether a process that has just started leaves the watch to others, because it knows of other
+ * processes but is not linked to any yet. If every process of a starting fleet watched the store
+ * until it is linked, each of their announcements would end the watches of all.
+ */
+export function isAwaitingLinks(
+  process: {
+    /** Time of the first listing of the store; undefined before it. */
+    readonly listedAt: number | undefined;
+    readonly knownPeers: number;
+    readonly linkedPeers: number;
+  },
+  now: number,
+): boolean {
+  const { listedAt, knownPeers, linkedPeers } = process;
+  if (listedAt === undefined || knownPeers === 0 || linkedPeers > 0) return false;
+  return now - listedAt < LINKING_MS;
+}
+
+/** Covers the time from the check of a request to the end of its answer. */
+const CONFIG_APPLY_MARGIN_MS = 500;
+
+/**
+ * Computes the age up to which a confirmation suffices to refuse a request for its route or key,
+ * which may have been added since. In a large fleet a confirmation within the operators' bound for
+ * new configurations does: with a read for each refusal, callers with an invalid key would make
+ * the calls to the store grow with their requests. A small fleet can afford that read.
+ */
+export function computeRefusalConfirmAgeMs(
+  bounds: { readonly configApplyMs: number },
+  scope: ElectionScope,
+): number {
+  return scope === "fleet" ? Math.max(0, bounds.configApplyMs - CONFIG_APPLY_MARGIN_MS) : -1;
+}
+
+/** Confirmation intervals after which a process reads the store itself, without jitter. */
+const FALLBACK_INTERVAL_COUNTS = { zone: 2, fleet: 2.4 };
+/** Spread of that age over the processes of a fleet, in confirmation intervals. */
+const FALLBACK_JITTER_COUNT = 0.6;
+
+/**
+ * Computes the age of the last confirmation from which a process that does not watch the store
+ * reads it itself. In a fleet with a single watcher the ages are spread by `jitter`, 0 to 1: the
+ * reads of the first processes confirm the configuration for all others.
+ */
+export function computeFallbackAgeMs(
+  confirmIntervalMs: number,
+  scope: ElectionScope,
+  jitter: number,
+): number {
+  const jitterCount = scope === "fleet" ? FALLBACK_JITTER_COUNT * jitter : 0;
+  return confirmIntervalMs * (FALLBACK_INTERVAL_COUNTS[scope] + jitterCount);
+}
+
 /**
- * Whether `self` watches the store. Of the zone's processes in contact with the store, the one
- * with the lowest hash watches it; while none is in contact, every process does.
+ * Whether `self` watches the store. Of the processes in contact with the store, in the zone or in
+ * the fleet, the most suitable hub watches it; while none is in contact, every process does.
  */
 export function isStoreWatcher(
   self: {
     readonly process: core.ProcessId;
     readonly zone: core.ZoneName;
+    readonly linkMbps: number;
     /** Whether the process's own calls to the store succeed. */
     readonly isInContact: boolean;
   },
   others: readonly StoreContact[],
+  scope: ElectionScope,
 ): boolean {
-  const ownHash = core.computeHash32(self.process);
   for (const other of others) {
-    if (other.zone !== self.zone || other.confirmAgeMs > MAX_CONTACT_AGE_MS) continue;
+    if (scope === "zone" && other.zone !== self.zone) continue;
+    if (other.confirmAgeMs > MAX_CONTACT_AGES_MS[scope]) continue;
     if (!self.isInContact) return false;
-    const hash = core.computeHash32(other.process);
-    if (hash < ownHash || (hash === ownHash && other.process < self.process)) return false;
+    if (hubs.compareAsHubs(other, self) < 0) return false;
   }
   return true;
 }
