--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -28,6 +28,20 @@
     to: "",
     test: "platform/dist/fleet_test.js",
   },
+  {
+    name: "an endless answer of the store is cut off",
+    file: "platform/src/store_client.ts",
+    from: "    maxResponseSize: MAX_ANSWER_BYTES,\n",
+    to: "",
+    test: "platform/dist/endless_answers_test.js",
+  },
+  {
+    name: "placements on late reports are spread",
+    file: "packages/policy/src/placement_spread.ts",
+    from: "1 + Math.floor(unseenStarts)",
+    to: "1",
+    test: "packages/policy/dist/placement_spread_test.js",
+  },
   {
     name: "a hub passes on a report that another hub passed on first",
     file: "packages/policy/src/load_relay.ts",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import * as handOvers from "./hand_over_agent.ts";
 import * as leaveWatchers from "./leave_watcher.ts";
 import * as peerAgents from "./peer_agent.ts";
+import type * as peerOptions from "./peer_agent_options.ts";
 import * as handlers from "./request_handler.ts";
 import type * as stores from "./routing_store.ts";
 import * as storeAgents from "./store_agent.ts";
@@ -214,6 +215,7 @@
       engineControl: this.#options.engineControl,
       getRetryBudget: (service) => this.#getRetryBudget(service),
       getProcessCount: () => Math.max(MIN_PROCESS_COUNT, this.#peerAgent.knownPeerCount + 1),
+      getReportLagMs: () => this.#peerAgent.reportLagMs,
       recordClosingAnswer: (endpoint) => this.#leaveWatcher.recordClosingAnswer(endpoint),
       publishChanges: (changes) => this.#publishChanges(changes),
       getEngineProfile: (service) => config.inForce?.config.services.get(service)?.engine,
@@ -261,7 +263,7 @@
     return front;
   }
 
-  #createReport(now: number): peerAgents.OwnReport {
+  #createReport(now: number): peerOptions.OwnReport {
     const { enginePlacement, directory, config } = this.#context;
     const release = config.inForce?.config.release;
     return {
@@ -279,7 +281,7 @@
 
   #applyReport(
     report: peers.ProcessReportMessage,
-    reportTiming: peerAgents.ReportTiming,
+    reportTiming: peerOptions.ReportTiming,
   ): void {
     const { directory, config } = this.#context;
     const { acknowledgedReportSentAt: sentAt, now } = reportTiming;
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -31,6 +31,8 @@
   getRetryBudget(service: core.ServiceName): policy.SlidingWindowRetryBudget;
   /** Returns the number of processes that share retry and connection limits, including this one. */
   getProcessCount(): number;
+  /** Returns the age of other processes' loads when they arrive, if it matters for placement. */
+  getReportLagMs(): number;
   /** Records that `endpoint` closes a connection after an answer, as leaving endpoints do. */
   recordClosingAnswer(endpoint: core.EndpointRecord): void;
   /** Logs changes of the directory and applies them to connections, placement and hand-overs. */
--- a/packages/gateway/src/load_exchange.ts
+++ b/packages/gateway/src/load_exchange.ts
@@ -21,7 +21,8 @@
 
   /**
    * Applies the loads of `sender` and those that it passes on as a hub. Returns whether a newer
-   * report contains the claim of a move, which others wait for.
+   * report of the sender is urgent: it contains unread prompts, which slow further ones down, or the
+   * claim of a move, which others wait for.
    */
   applyReports(
     reports: readonly policy.RelayedLoads[],
@@ -30,7 +31,7 @@
   ): boolean {
     const { peerLoads, process: self } = this.#options;
     const { now, ttlMs } = timing;
-    let hasMoveClaims = false;
+    let isUrgent = false;
     for (const report of reports) {
       const { process, loads, isLost } = report;
       if (process === self) continue;
@@ -38,9 +39,11 @@
       if (!this.#relay.applyReport(report, { isDirect, now })) continue;
       if (isLost) peerLoads.dropProcess(process);
       else peerLoads.applyReport(process, loads, { now, ttlMs });
-      hasMoveClaims ||= loads.some((load) => load.moveValue > 0);
+      isUrgent ||= loads.some((load) =>
+        load.moveValue > 0 || (isDirect && load.unreadPromptTokens > 0)
+      );
     }
-    return hasMoveClaims;
+    return isUrgent;
   }
 
   /** Withdraws the loads of a process whose link to this hub is lost. */
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -11,48 +11,10 @@
 import * as policy from "@peridotvale/policy";
 import * as planners from "./link_planner.ts";
 import * as exchanges from "./load_exchange.ts";
+import type * as types from "./peer_agent_options.ts";
 import * as registries from "./peer_registry.ts";
-import type * as settingsModule from "./gateway_settings.ts";
 import type * as stores from "./routing_store.ts";
 
-/** State of this process that is reported to peers. */
-export interface OwnReport {
-  readonly loads: readonly policy.EngineLoad[];
-  readonly notices: readonly policy.LeaveNotice[];
-  readonly store: peers.StoreView | undefined;
-}
-
-/** When a peer's report arrived, and how it relates to earlier reports. */
-export interface ReportTiming {
-  /**
-   * Time, by this process's clock, at which this process sent the last report that the peer has
-   * acknowledged; undefined if the peer has received none.
-   */
-  readonly acknowledgedReportSentAt: number | undefined;
-  /** Whether the peer's previous report is recent enough that the two contain every change. */
-  readonly isContinuous: boolean;
-  readonly now: number;
-}
-
-export interface PeerAgentOptions {
-  readonly settings: settingsModule.GatewaySettings;
-  readonly clock: core.Clock;
-  readonly logger: core.Logger;
-  readonly peerLoads: policy.PeerLoads;
-  readonly createReport: (now: number) => OwnReport;
-  /** Called for each report that a peer sends. */
-  readonly onReport: (
-    report: peers.ProcessReportMessage,
-    timing: ReportTiming,
-  ) => void;
-  /** Returns the interval at which an unchanged report is sent to show that the link is alive. */
-  readonly getReportRefreshIntervalMs: () => number;
-  /** Returns the configuration in force, if any. */
-  readonly getConfig: () => core.RoutingConfig | undefined;
-  /** Called when a peer sends the configuration that is in force there. */
-  readonly onConfig: (config: core.RoutingConfig, now: number) => void;
-}
-
 /** Contents of a peer's last report that are used later. */
 interface LastReport {
   readonly zone: core.ZoneName;
@@ -80,13 +42,15 @@
 const CONFIG_REQUEST_INTERVAL_MS = 200;
 /** Time for which reports include a newly learned process, since a single report may be lost. */
 const PEER_RELAY_DURATION_MS = 1_500;
-/** Delay within which a hub passes on reports that change whose turn it is in a hand-over. */
+/** Delay within which a hub passes on reports of new prompts, or of moves that others wait for. */
 const URGENT_RELAY_DELAY_MS = 50;
+/** Mean age of a load that a hub passes on: both processes' delays and two transfers. */
+const RELAYED_REPORT_LAG_MS = 200;
 /** Failed connections in a row after which a peer is avoided as a hub. */
 const MAX_CONNECT_FAILURES = 3;
 
 export class PeerAgent {
-  readonly #options: PeerAgentOptions;
+  readonly #options: types.PeerAgentOptions;
   readonly #mesh: peers.PeerMesh;
   readonly #registry: registries.PeerRegistry;
   readonly #schedule = new policy.ReportSchedule();
@@ -98,7 +62,7 @@
   #urgentTimer: NodeJS.Timeout | undefined;
   #configRequestedAt = -Infinity;
 
-  constructor(options: PeerAgentOptions) {
+  constructor(options: types.PeerAgentOptions) {
     const { settings, clock } = options;
     this.#options = options;
     this.#registry = new registries.PeerRegistry(settings.process);
@@ -147,6 +111,11 @@
     return this.#linkPlanner.isFullMesh ? "zone" : "fleet";
   }
 
+  /** Age of the loads that hubs pass on; 0 in a full mesh, where loads arrive directly. */
+  get reportLagMs(): number {
+    return this.#linkPlanner.isFullMesh ? 0 : RELAYED_REPORT_LAG_MS;
+  }
+
   /** Number of open links. */
   get linkCount(): number {
     return this.#mesh.getLinks().length;
@@ -277,7 +246,7 @@
 
   #sendReport(
     link: peers.PeerLink,
-    report: OwnReport,
+    report: types.OwnReport,
     options: {
       readonly now: number;
       readonly relayedPeers: readonly peers.ProcessAddress[];
@@ -354,11 +323,11 @@
     const { process, zone, incarnation } = peer;
     const { loads, sentAt } = message;
     const report = { process, zone, incarnation, sentAt, loads, isLost: false };
-    const hasMoveClaims = this.#loadExchange.applyReports([report, ...message.relayed], process, {
+    const isUrgent = this.#loadExchange.applyReports([report, ...message.relayed], process, {
       now,
       ttlMs: this.#linkPlanner.isFullMesh ? policy.REPORT_TTL_MS : policy.RELAYED_REPORT_TTL_MS,
     });
-    if (hasMoveClaims && this.#isHub()) this.#scheduleUrgentReport();
+    if (isUrgent && this.#isHub()) this.#scheduleUrgentReport();
     const acknowledgedReportSentAt = message.answersSentAt;
     const confirmAgeMs = message.store?.confirmAgeMs ?? Infinity;
     const confirmedAt = acknowledgedReportSentAt === undefined
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -129,7 +129,9 @@
     for (const rejected of this.#queue.takeLateGenerations(now)) {
       this.#settleWaiter(rejected.request, "no_engine_in_time");
     }
-    if (hasPlacedGeneration && this.#queue.size > 0) this.#options.reportNow();
+    // Through hubs, a load takes long enough to arrive without waiting for the next report.
+    const isReportUrgent = this.#queue.size > 0 || context.getReportLagMs() > 0;
+    if (hasPlacedGeneration && isReportUrgent) this.#options.reportNow();
     this.#schedulePlacement();
   }
 
@@ -162,6 +164,7 @@
         avoid: this.#waiters.get(generation.request)?.avoid ?? new Set(),
         random: context.random,
         rank: generation.rank,
+        reportLagMs: context.getReportLagMs(),
       },
     );
   }
--- a/packages/policy/src/engine_placement.ts
+++ b/packages/policy/src/engine_placement.ts
@@ -6,6 +6,7 @@
 
 import type * as core from "@peridotvale/core";
 import type * as peers from "./peer_loads.ts";
+import * as spreads from "./placement_spread.ts";
 
 /** Token counts from which the memory use of a generation is predicted. */
 export interface GenerationSize {
@@ -70,6 +71,16 @@
   return size.promptTokens + Math.min(size.maxOutputTokens, outputTokens);
 }
 
+/** An engine with room for a generation. */
+interface ScoredEngine extends spreads.SpreadCandidate {
+  readonly record: core.EndpointRecord;
+}
+
+/** Computes the score of prompt tokens that an engine has yet to process. */
+function computePrefillShare(tokens: number): number {
+  return PREFILL_SHARE_PER_S * tokens / PROMPT_TOKENS_PER_MS / 1000;
+}
+
 /** Tracks this process's runs at engines and chooses engines for new runs. */
 export class EnginePlacement {
   readonly #engines = new Map<core.InstanceId, TrackedEngine>();
@@ -96,30 +107,35 @@
       readonly rank: number;
       /** Whether a running generation is moved; a copy across zones takes twice as long. */
       readonly isMove?: boolean;
+      /** Age of the loads of other processes when they arrive; 0 if it does not matter. */
+      readonly reportLagMs?: number;
     },
   ): core.EndpointRecord | undefined {
-    let bestRecord: core.EndpointRecord | undefined;
-    let bestScore = Infinity;
+    const scoredEngines: ScoredEngine[] = [];
+    const zones = new Set<core.ZoneName>();
     for (const candidate of candidates) {
+      zones.add(candidate.record.zone);
       const { record, profile } = candidate;
       const engine = this.#getEngine(record.instance);
       if (options.avoid.has(record.instance) || options.now < engine.avoidUntil) continue;
       const load = this.#getLoad(record.instance);
       const memoryShare = chooseMemoryShare(options);
       if (!hasRoom(load, profile, { size, memoryShare })) continue;
+      const ownPrefillShare = computePrefillShare(size.promptTokens);
       let score = load.reservedTokens / profile.memoryTokens;
-      const unreadTokens = load.unreadPromptTokens + size.promptTokens;
-      score += PREFILL_SHARE_PER_S * unreadTokens / PROMPT_TOKENS_PER_MS / 1000;
+      score += computePrefillShare(load.unreadPromptTokens) + ownPrefillShare;
       score *= engine.tokenMs / INITIAL_TOKEN_MS;
       if (record.zone !== options.zone) {
         score += options.isMove ? REMOTE_ZONE_MOVE_PENALTY_SHARE : REMOTE_ZONE_PENALTY_SHARE;
       }
       score += 0.01 * options.random.next();
-      if (score >= bestScore) continue;
-      bestRecord = record;
-      bestScore = score;
+      // Score by which the engine would be worse after an equal placement by another process.
+      const increment = predictTotalTokens(size, 0) / profile.memoryTokens + ownPrefillShare;
+      scoredEngines.push({ record, score, increment });
     }
-    return bestRecord;
+    const unseenStarts = this.#peerLoads.getStartRate(options.now) *
+      (options.reportLagMs ?? 0) / 1000 / Math.max(1, zones.size);
+    return spreads.chooseSpread(scoredEngines, unseenStarts, options.random)?.record;
   }
 
   /**
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -19,6 +19,7 @@
 export * from "./membership.ts";
 export * from "./memory_forecast.ts";
 export * from "./peer_selection.ts";
+export * from "./placement_spread.ts";
 export * from "./order_planner.ts";
 export * from "./ownership.ts";
 export * from "./report_policy.ts";
--- a/packages/policy/src/peer_loads.ts
+++ b/packages/policy/src/peer_loads.ts
@@ -36,6 +36,9 @@
 /** A report not renewed for this long is dropped; reports arrive at least every half second. */
 export const REPORT_TTL_MS = 2_500;
 
+/** Window over which the rate of starts is measured. */
+const START_RATE_WINDOW_MS = 2_000;
+
 const NO_LOAD: LoadSum = { runs: 0, reservedTokens: 0, unreadPromptTokens: 0 };
 
 /**
@@ -45,6 +48,7 @@
 export class PeerLoads {
   readonly #reports = new Map<core.ProcessId, ReceivedReport>();
   readonly #totals = new Map<core.InstanceId, LoadSum>();
+  #starts: { readonly at: number; readonly runs: number }[] = [];
 
   /** Replaces the previous report of `process`. The new one is dropped after `ttlMs`. */
   applyReport(
@@ -52,6 +56,7 @@
     loads: readonly EngineLoad[],
     options: { readonly now: number; readonly ttlMs: number },
   ): void {
+    this.#recordStarts(process, loads, options.now);
     this.dropProcess(process);
     const loadByInstance = new Map(loads.map((load) => [load.instance, load]));
     this.#reports.set(process, {
@@ -61,6 +66,13 @@
     for (const load of loadByInstance.values()) this.#addToTotal(load, 1);
   }
 
+  /** Returns the runs that other processes have started a second, by their reports. */
+  getStartRate(now: number): number {
+    this.#starts = this.#starts.filter((entry) => now - entry.at <= START_RATE_WINDOW_MS);
+    const count = this.#starts.reduce((sum, entry) => sum + entry.runs, 0);
+    return count / (START_RATE_WINDOW_MS / 1000);
+  }
+
   /** Drops the report of a process that has ended. */
   dropProcess(process: core.ProcessId): void {
     const report = this.#reports.get(process);
@@ -109,6 +121,15 @@
     return claims;
   }
 
+  #recordStarts(process: core.ProcessId, loads: readonly EngineLoad[], now: number): void {
+    const previousLoads = this.#reports.get(process)?.loads;
+    let runs = 0;
+    for (const load of loads) {
+      runs += Math.max(0, load.runs - (previousLoads?.get(load.instance)?.runs ?? 0));
+    }
+    if (runs > 0) this.#starts.push({ at: now, runs });
+  }
+
   #addToTotal(load: EngineLoad, sign: 1 | -1): void {
     const total = this.#totals.get(load.instance) ?? NO_LOAD;
     const runs = total.runs + sign * load.runs;
