In large fleets only hubs retry an unavailable store often; news count as lost by their age

Cause: while the store refuses calls, each process retried every 0.8 s, or every 2 s while peers confirmed: with 195 processes some hundred calls a second. Change: processes that are no hubs back off to 3.2 s, and read every 8 s while peers confirm; in a fleet with hubs the store counts as lost once the last confirmation, by whomever, is too old.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -115,6 +115,11 @@
         return policy.isStoreWatcher(self, contacts, this.#peerAgent.electionScope);
       },
       getElectionScope: () => this.#peerAgent.electionScope,
+      getRetryIntervals: () =>
+        policy.chooseRetryIntervals({
+          scope: this.#peerAgent.electionScope,
+          isHub: this.#peerAgent.isHub,
+        }),
       onPeersAnnounced: (peers) => this.#peerAgent.recordAnnouncements(peers),
       onPeerRemoved: (peer) => this.#peerAgent.recordWithdrawal(peer),
       onInstanceChanges: (changes) => this.#publishChanges(changes),
@@ -122,8 +127,7 @@
     this.#leaveWatcher = new leaveWatchers.LeaveWatcher({
       context: this.#context,
       listRelays: () => this.#streamForwarder.relays,
-      isStoreLost: (now) =>
-        this.#storeAgent.getOutageMs(now) > 0 || this.#peerAgent.hasZonePeerLostStore(),
+      isStoreLost: (now) => this.#isStoreLost(now),
     });
     this.#requestHandler = new handlers.RequestHandler({
       context: this.#context,
@@ -193,6 +197,12 @@
     this.#context.pool.destroy();
   }
 
+  /** Whether news of leaving endpoints may be missing because the store cannot be reached. */
+  #isStoreLost(now: number): boolean {
+    if (this.#peerAgent.electionScope === "fleet") return !this.#storeAgent.isConfirmationRecent();
+    return this.#storeAgent.getOutageMs(now) > 0 || this.#peerAgent.hasZonePeerLostStore();
+  }
+
   #createContext(): contexts.GatewayContext {
     const { settings, clock, logger, random } = this.#options;
     const directory = new policy.InstanceDirectory();
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -227,12 +227,12 @@
     const audiences = this.#schedule.takeAudiences({
       loads: JSON.stringify(loads),
       news: JSON.stringify([notices, release, isReachable, changed, relayedPeers]),
-      hasRelayedReports: this.#isHub() && this.#loadExchange.hasQueuedReports("own_zone"),
+      hasRelayedReports: this.isHub && this.#loadExchange.hasQueuedReports("own_zone"),
       isForced,
       isFullMesh: this.#linkPlanner.isFullMesh,
     }, now);
     for (const audience of audiences) {
-      const relayed = this.#isHub() ? this.#loadExchange.takeReports(audience) : [];
+      const relayed = this.isHub ? this.#loadExchange.takeReports(audience) : [];
       for (const link of this.#mesh.getLinks()) {
         if (link.peer === undefined || this.#getAudience(link.peer) !== audience) continue;
         this.#sendReport(link, report, { now, relayedPeers, relayed });
@@ -265,12 +265,12 @@
    * only those that it has read from the store itself; the hubs know all others.
    */
   #listRelayedPeers(now: number): peers.ProcessAddress[] {
-    const onlyAnnounced = !this.#linkPlanner.isFullMesh && !this.#isHub();
+    const onlyAnnounced = !this.#linkPlanner.isFullMesh && !this.isHub;
     return this.#registry.listLearnedSince(now - PEER_RELAY_DURATION_MS, { onlyAnnounced });
   }
 
   /** Whether this process is a hub, by its own choice or by that of others in its zone. */
-  #isHub(): boolean {
+  get isHub(): boolean {
     if (this.#linkPlanner.isFullMesh) return false;
     if (this.#linkPlanner.isOwnHub) return true;
     const { zone } = this.#options.settings;
@@ -286,10 +286,10 @@
     // The bandwidth becomes known with the announcement.
     if (link.peer !== undefined) this.#addPeers([{ ...link.peer, linkMbps: 0 }], false);
     const now = this.#options.clock.now();
-    const relayedPeers = this.#linkPlanner.isFullMesh || this.#isHub()
+    const relayedPeers = this.#linkPlanner.isFullMesh || this.isHub
       ? this.#registry.listLearnedSince(-Infinity, { onlyAnnounced: false })
       : this.#listRelayedPeers(now);
-    const relayed = link.peer !== undefined && this.#isHub()
+    const relayed = link.peer !== undefined && this.isHub
       ? this.#loadExchange.listAll(this.#getAudience(link.peer))
       : [];
     this.#sendReport(link, this.#options.createReport(now), { now, relayedPeers, relayed });
@@ -327,7 +327,7 @@
       now,
       ttlMs: this.#linkPlanner.isFullMesh ? policy.REPORT_TTL_MS : policy.RELAYED_REPORT_TTL_MS,
     });
-    if (isUrgent && this.#isHub()) this.#scheduleUrgentReport();
+    if (isUrgent && this.isHub) this.#scheduleUrgentReport();
     const acknowledgedReportSentAt = message.answersSentAt;
     const confirmAgeMs = message.store?.confirmAgeMs ?? Infinity;
     const confirmedAt = acknowledgedReportSentAt === undefined
@@ -366,7 +366,7 @@
     this.#lastReports.delete(process);
     this.#options.logger.write("peer_lost", { peer: process });
     // A process that has lost one of its hubs hears of that hub's loads through the other one.
-    if (!this.#isHub()) return;
+    if (!this.isHub) return;
     this.#loadExchange.recordLinkLost(process, this.#options.clock.now());
   }
 }
--- a/packages/gateway/src/store_agent.ts
+++ b/packages/gateway/src/store_agent.ts
@@ -20,15 +20,12 @@
 const READ_TIMEOUT_MS = 900;
 /** Pause after a failed call; it doubles with each failure so as not to flood the store. */
 const MIN_BACKOFF_MS = 100;
-const MAX_BACKOFF_MS = 800;
 /** Time within which a watch must reach the revision of a read; otherwise it is stalled. */
 const STALLED_WATCH_TIMEOUT_MS = 200;
 /** Longest wait for a peer's newer configuration before this process reads it from the store. */
 const PEER_CONFIG_WAIT_MS = 500;
 /** Interval at which a process that does not watch the store checks whether it now should. */
 const WATCHER_CHECK_INTERVAL_MS = 100;
-/** Interval between reads of an unavailable store while peers confirm the configuration. */
-const OUTAGE_RETRY_MS = 2_000;
 /** Failures for at least this long are treated as an outage, during which entries may expire. */
 const MIN_OUTAGE_MS = 700;
 
@@ -46,6 +43,8 @@
   /** Called after a newer configuration has come into force. */
   readonly onConfig: (now: number) => void;
   readonly getElectionScope: () => policy.ElectionScope;
+  /** Returns the pauses between calls while the store fails. */
+  readonly getRetryIntervals: () => policy.StoreRetryIntervals;
   readonly onPeersAnnounced: (peers: readonly stores.AnnouncedPeer[]) => void;
   readonly onPeerRemoved: (process: core.ProcessId) => void;
   readonly onInstanceChanges: (changes: readonly policy.InstanceChange[], now: number) => void;
@@ -130,25 +129,29 @@
         await core.waitFor(FIRST_LISTING_POLL_MS);
         continue;
       }
-      if (this.#isConfirmationRecent() && !this.#isRetryDue()) {
+      if (this.isConfirmationRecent() && !this.#isRetryDue()) {
         await core.waitFor(CONFIRMATION_POLL_INTERVAL_MS);
         continue;
       }
       const isConfirmed = await this.confirm(0);
-      backoffMs = isConfirmed ? MIN_BACKOFF_MS : Math.min(backoffMs * 2, MAX_BACKOFF_MS);
+      backoffMs = isConfirmed ? MIN_BACKOFF_MS : this.#increaseBackoffMs(backoffMs);
       await core.waitFor(isConfirmed ? this.#drawConfirmationIntervalMs() : backoffMs);
     }
   }
 
+  #increaseBackoffMs(backoffMs: number): number {
+    return Math.min(backoffMs * 2, this.#options.getRetryIntervals().maxBackoffMs);
+  }
+
   /** Whether to retry an unavailable store although the confirmations of peers are recent. */
   #isRetryDue(): boolean {
     const now = this.#options.clock.now();
     return this.#failingSince !== undefined &&
-      now - this.#lastConfirmationStartedAt > OUTAGE_RETRY_MS;
+      now - this.#lastConfirmationStartedAt > this.#options.getRetryIntervals().whileConfirmedMs;
   }
 
   /** Whether the last confirmation, by this process or by a peer, is recent enough. */
-  #isConfirmationRecent(): boolean {
+  isConfirmationRecent(): boolean {
     const { config, clock, isStoreWatcher, getElectionScope } = this.#options;
     const now = clock.now();
     const intervalMs = this.#options.getConfirmationIntervalMs();
@@ -191,7 +194,7 @@
         continue;
       }
       await core.waitFor(backoffMs * (0.5 + this.#options.random.next()));
-      backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
+      backoffMs = this.#increaseBackoffMs(backoffMs);
     }
   }
 
--- a/packages/policy/src/store_watcher_election.ts
+++ b/packages/policy/src/store_watcher_election.ts
@@ -72,6 +72,31 @@
   return listedAt !== undefined && now - listedAt < LINKING_MS;
 }
 
+/** Pauses between calls to a store that fails or refuses calls. */
+export interface StoreRetryIntervals {
+  /** Longest pause after a failed call; the pauses double up to it. */
+  readonly maxBackoffMs: number;
+  /** Interval between reads while peers confirm the configuration. */
+  readonly whileConfirmedMs: number;
+}
+
+const RETRY_INTERVALS: StoreRetryIntervals = { maxBackoffMs: 800, whileConfirmedMs: 2_000 };
+const FOLLOWER_RETRY_INTERVALS: StoreRetryIntervals = {
+  maxBackoffMs: 3_200,
+  whileConfirmedMs: 8_000,
+};
+
+/**
+ * Chooses how often a process retries an unavailable store. In a large fleet only the hubs retry
+ * often, since they pass on to the others that the store is back.
+ */
+export function chooseRetryIntervals(
+  process: { readonly scope: ElectionScope; readonly isHub: boolean },
+): StoreRetryIntervals {
+  const isFollower = process.scope === "fleet" && !process.isHub;
+  return isFollower ? FOLLOWER_RETRY_INTERVALS : RETRY_INTERVALS;
+}
+
 /** Covers the time from the check of a request to the end of its answer. */
 const CONFIG_APPLY_MARGIN_MS = 500;
 
--- a/packages/policy/src/store_watcher_election_test.ts
+++ b/packages/policy/src/store_watcher_election_test.ts
@@ -89,6 +89,16 @@
   t.end();
 });
 
+// A store that refuses calls counts them all the same.
+tap.t.test("in a large fleet only hubs retry an unavailable store often", (t) => {
+  const hub = elections.chooseRetryIntervals({ scope: "fleet", isHub: true });
+  const follower = elections.chooseRetryIntervals({ scope: "fleet", isHub: false });
+  t.ok(follower.maxBackoffMs > 2 * hub.maxBackoffMs);
+  t.ok(follower.whileConfirmedMs > 2 * hub.whileConfirmedMs);
+  t.same(elections.chooseRetryIntervals({ scope: "zone", isHub: false }), hub);
+  t.end();
+});
+
 tap.t.test("refusals of a large fleet rely on confirmations within the operators' bound", (t) => {
   t.equal(elections.computeRefusalConfirmAgeMs({ configApplyMs: 4_000 }, "fleet"), 3_500);
   t.equal(elections.computeRefusalConfirmAgeMs({ configApplyMs: 300 }, "fleet"), 0);
