Cut off an engine's stream that brings bytes but no events

Cause: bytes that are no event kept a generation's stream open and, in one endless line, filled memory: the silence check counts any byte.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -35,6 +35,13 @@
     to: "",
     test: "platform/dist/endless_answers_test.js",
   },
+  {
+    name: "an engine's stream without events is cut off",
+    file: "packages/engines/src/sse_stream.ts",
+    from: "if (this.#bytesSinceEvent > MAX_BYTES_BETWEEN_EVENTS) {",
+    to: "if (this.#bytesSinceEvent < 0) {",
+    test: "packages/engines/dist/sse_stream_test.js",
+  },
   {
     name: "placements on late reports are spread",
     file: "packages/policy/src/placement_spread.ts",
--- a/packages/engines/src/sse_stream.ts
+++ b/packages/engines/src/sse_stream.ts
@@ -1,6 +1,7 @@
 /**
  * Reads the server-sent events of one generation. Rejects events of other generations, detects
- * connections that deliver no more data, and stops reading while the caller's buffer is full.
+ * connections that deliver no more data or no more events, and stops reading while the caller's
+ * buffer is full.
  */
 
 import * as stringDecoder from "node:string_decoder";
@@ -31,6 +32,9 @@
   readonly silenceTimeoutMs: number;
 }
 
+/** Bytes without a complete event after which the stream is cut off; an event has below 1 KB. */
+const MAX_BYTES_BETWEEN_EVENTS = 1024 * 1024;
+
 /** {@linkcode client.EngineStream} over an HTTP response body. */
 export class SseStream implements client.EngineStream {
   readonly generation: core.GenerationId;
@@ -42,6 +46,7 @@
   #error: errors.EngineError | undefined;
   #ended = false;
   #lastReceivedAt = 0;
+  #bytesSinceEvent = 0;
 
   constructor(body: Body, options: SseStreamOptions) {
     this.#body = body;
@@ -67,7 +72,11 @@
       };
       const read = (chunk: Uint8Array) => {
         this.#lastReceivedAt = performance.now();
+        this.#bytesSinceEvent += chunk.length;
         parser.feed(decoder.write(chunk));
+        if (this.#bytesSinceEvent > MAX_BYTES_BETWEEN_EVENTS) {
+          this.#fail("protocol", `${this.#bytesSinceEvent} bytes without an event`);
+        }
         if (this.#ended || this.#error !== undefined) return finish();
         this.#pauseUntil(sink.waitForWritable());
       };
@@ -119,6 +128,7 @@
   }
 
   #applyMessage(message: eventsource.EventSourceMessage): void {
+    this.#bytesSinceEvent = 0;
     if (this.#ended || this.#error !== undefined) return;
     if (message.data === "[DONE]") return;
     if (message.event === "error") {
