--- a/packages/gateway/src/store_agent.ts
+++ b/packages/gateway/src/store_agent.ts
@@ -134,12 +134,12 @@
         continue;
       }
       const isConfirmed = await this.confirm(0);
-      backoffMs = isConfirmed ? MIN_BACKOFF_MS : this.#increaseBackoffMs(backoffMs);
+      backoffMs = isConfirmed ? MIN_BACKOFF_MS : this.#computeNextBackoffMs(backoffMs);
       await core.waitFor(isConfirmed ? this.#drawConfirmationIntervalMs() : backoffMs);
     }
   }
 
-  #increaseBackoffMs(backoffMs: number): number {
+  #computeNextBackoffMs(backoffMs: number): number {
     return Math.min(backoffMs * 2, this.#options.getRetryIntervals().maxBackoffMs);
   }
 
@@ -194,7 +194,7 @@
         continue;
       }
       await core.waitFor(backoffMs * (0.5 + this.#options.random.next()));
-      backoffMs = this.#increaseBackoffMs(backoffMs);
+      backoffMs = this.#computeNextBackoffMs(backoffMs);
     }
   }
 
