Drop old starts also where nothing is placed

Cause: starts of other processes were dropped only when the rate was read, so that a process without generations of its own kept them for its life. Found by reading; no test shows it. Change: they are dropped with expired reports too.

--- a/packages/policy/src/peer_loads.ts
+++ b/packages/policy/src/peer_loads.ts
@@ -68,7 +68,7 @@
 
   /** Returns the runs that other processes have started a second, by their reports. */
   getStartRate(now: number): number {
-    this.#starts = this.#starts.filter((entry) => now - entry.at <= START_RATE_WINDOW_MS);
+    this.#dropOldStarts(now);
     const count = this.#starts.reduce((sum, entry) => sum + entry.runs, 0);
     return count / (START_RATE_WINDOW_MS / 1000);
   }
@@ -83,6 +83,8 @@
 
   /** Drops reports that were not renewed in time. */
   expireReports(now: number): void {
+    // A process that places nothing never reads the rate.
+    this.#dropOldStarts(now);
     for (const [process, report] of this.#reports) {
       if (now > report.expiresAt) this.dropProcess(process);
     }
@@ -121,6 +123,10 @@
     return claims;
   }
 
+  #dropOldStarts(now: number): void {
+    this.#starts = this.#starts.filter((entry) => now - entry.at <= START_RATE_WINDOW_MS);
+  }
+
   #recordStarts(process: core.ProcessId, loads: readonly EngineLoad[], now: number): void {
     const previousLoads = this.#reports.get(process)?.loads;
     let runs = 0;
