Log the prompt parts of generations and how far a broken stream had come

On-call could not tell whether broken streams have content in common: engine_chosen and stream_broken now name the prompt parts, stream_broken the time since the first event and also breaks before the head; broken_generations_total counts breaks before and during output.

--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -80,6 +80,11 @@
       "reason",
     ],
   );
+  readonly #brokenGenerations = this.#createCounter(
+    "broken_generations",
+    "Generations whose stream broke off, by whether they had produced output.",
+    ["progress"],
+  );
   readonly #openRequests = new prometheus.Gauge({
     name: "peridotvale_open_requests",
     help: "Requests in progress.",
@@ -135,6 +140,11 @@
     this.#droppedAnswers.inc({ reason });
   }
 
+  /** Counts a generation whose engine's stream broke off. */
+  recordBrokenGeneration(progress: "before_output" | "during_output"): void {
+    this.#brokenGenerations.inc({ progress });
+  }
+
   setOpenRequests(count: number): void {
     this.#openRequests.set(count);
   }
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -33,6 +33,8 @@
   #upstream: upstreams.UpstreamStream;
   #deliveredEventCount = 0;
   #lastEventId: string | undefined;
+  /** Time at which the current engine's first event arrived. */
+  #firstEventAt: number | undefined;
   #lastEventAt: number | undefined;
   #isHandingOver = false;
   /**
@@ -114,15 +116,10 @@
       return this.#resolveRun(undefined);
     }
     if (end.type === "failed") return this.#answerEngineFailure(end);
+    if (end.outcome === "unknown") this.#recordBreak(end.reason);
     if (!this.request.isHeadSent) {
       return this.#resolveRun({ outcome: end.outcome, reason: end.reason });
     }
-    this.#context.logger.write("stream_broken", {
-      request: this.request.id,
-      instance: this.endpoint.instance,
-      reason: end.reason,
-      events: this.#deliveredEventCount,
-    });
     this.request.abortStream({ status: 200, reason: end.reason, outcome: "unknown" });
     this.#resolveRun(undefined);
   }
@@ -257,6 +254,7 @@
   #startUpstream(memory: codec.GenerationMemory | undefined): void {
     const upstream = this.#upstream;
     const { endpoint } = upstream;
+    this.#firstEventAt = undefined;
     if (memory === undefined) {
       this.#context.enginePlacement.recordStart(endpoint.instance, this.request.id, this.size);
     }
@@ -317,6 +315,20 @@
     }
   }
 
+  #recordBreak(reason: string): void {
+    const { clock, logger, metrics } = this.#context;
+    const outputMs = this.#firstEventAt === undefined ? 0 : clock.now() - this.#firstEventAt;
+    metrics.recordBrokenGeneration(outputMs > 0 ? "during_output" : "before_output");
+    logger.write("stream_broken", {
+      request: this.request.id,
+      instance: this.endpoint.instance,
+      reason,
+      events: this.#deliveredEventCount,
+      output_ms: Math.round(outputMs),
+      parts: requests.formatPromptParts(this.request),
+    });
+  }
+
   #recordProgress(eventCount: number, now: number): void {
     const profile = this.#context.getEngineProfile(this.routed.service);
     const tokensPerEvent = profile?.tokensPerEvent ?? 1;
@@ -325,6 +337,7 @@
       this.#context.metrics.recordFirstToken(labels, now - this.request.arrivedAt);
     }
     const elapsedMs = this.#lastEventAt === undefined ? undefined : now - this.#lastEventAt;
+    this.#firstEventAt ??= now;
     this.#lastEventAt = now;
     this.#context.enginePlacement.recordProgress(this.endpoint.instance, this.request.id, {
       generatedTokens: this.#deliveredEventCount * tokensPerEvent,
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -7,7 +7,7 @@
 import * as policy from "@peridotvale/policy";
 import type * as contexts from "./gateway_context.ts";
 import * as relays from "./generation_relay.ts";
-import type * as requests from "./open_request.ts";
+import * as requests from "./open_request.ts";
 import * as problems from "./problems.ts";
 import * as retries from "./retry_decision.ts";
 
@@ -187,6 +187,7 @@
       instance: options.endpoint.instance,
       waited_ms: Math.round(now - request.arrivedAt),
       waiting: this.#queue.size,
+      parts: requests.formatPromptParts(request),
     });
     const relay = new relays.GenerationRelay(context, { request, routed, ...options });
     this.#relays.add(relay);
