Quarantine prompt parts that crash engines

Cause: nothing connected one crash with the next. A broken stream was forgotten with its request, and no process learned from another, so each request with the part reached a new engine. Class: query of death without attribution. Change: when streams break and the engine refuses connections, the prompts that had not begun or only just begun are suspects. Crashes are attributed to the parts that recur without output in between, the most specific first; those are refused with 503 before they are sent. The evidence travels in the process reports, in full on a new link, and is bounded and expires. The test "a prompt part that crashes engines is not sent to one engine after another" (3 processes, 6 engines) failed before: 40 crashes, 26 late arrivals, 19 of 79 sound requests served; with the change 7 crashes, none late, 79 of 79 served.

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -25,6 +25,8 @@
 export type ProcessId = Branded<string, "ProcessId">;
 /** Identifies, within its endpoint, the generation of one sequence of tokens. */
 export type GenerationId = Branded<string, "GenerationId">;
+/** Identifies a section of a prompt that other prompts may share. */
+export type PromptPartId = Branded<string, "PromptPartId">;
 /** Number of an accepted manifest or routing configuration; never decreases. */
 export type Release = Branded<number, "Release">;
 
--- a/packages/gateway/src/codec.ts
+++ b/packages/gateway/src/codec.ts
@@ -7,7 +7,7 @@
 
 /** Section of a prompt that other requests may share as a prefix. */
 export interface PromptPart {
-  readonly id: string;
+  readonly id: core.PromptPartId;
   readonly tokens: number;
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import * as leaveWatchers from "./leave_watcher.ts";
 import * as peerAgents from "./peer_agent.ts";
 import type * as peerOptions from "./peer_agent_options.ts";
+import * as quarantines from "./quarantine_agent.ts";
 import * as handlers from "./request_handler.ts";
 import type * as stores from "./routing_store.ts";
 import * as storeAgents from "./store_agent.ts";
@@ -33,7 +34,7 @@
 
 /** Limits that processes share are divided by at least this number; some may be unknown. */
 const MIN_PROCESS_COUNT = 8;
-/** Interval between checks of the directory for expired instances. */
+/** Interval between checks for expired instances and evidence. */
 const EXPIRY_CHECK_INTERVAL_MS = 200;
 /** Limit that the HTTP parser sets on a request head; the configured limit is checked later. */
 const PARSER_MAX_HEADER_BYTES = 64 * 1024;
@@ -82,7 +83,7 @@
       clock: options.clock,
       logger: options.logger,
       peerLoads: this.#context.peerLoads,
-      createReport: (now) => this.#createReport(now),
+      createReport: (now, scope) => this.#createReport(now, scope),
       onReport: (report, reportTiming) => this.#applyReport(report, reportTiming),
       getReportRefreshIntervalMs: () =>
         policy.computeReportIntervalMs(this.#context.settings.bounds),
@@ -157,7 +158,7 @@
     this.#leaveWatcher.start();
     await listenAt(this.#healthServer, settings.health);
     await listenAt(this.#frontServer, settings.front);
-    this.#expiryTimer = setInterval(() => this.#expireInstances(), EXPIRY_CHECK_INTERVAL_MS);
+    this.#expiryTimer = setInterval(() => this.#expireEntries(), EXPIRY_CHECK_INTERVAL_MS);
     gauges.registerGauges(this.#context, {
       streamForwarder: this.#streamForwarder,
       peerAgent: this.#peerAgent,
@@ -222,6 +223,12 @@
       callPlacement: new policy.CallPlacement(),
       enginePlacement: new policy.EnginePlacement(peerLoads),
       peerLoads,
+      quarantineAgent: new quarantines.QuarantineAgent({
+        clock,
+        logger,
+        isUsable: (instance) => directory.isUsable(instance),
+        onQuarantined: (now) => this.#streamForwarder.applyQuarantine(now),
+      }),
       engineControl: this.#options.engineControl,
       getRetryBudget: (service) => this.#getRetryBudget(service),
       getProcessCount: () => Math.max(MIN_PROCESS_COUNT, this.#peerAgent.knownPeerCount + 1),
@@ -273,12 +280,13 @@
     return front;
   }
 
-  #createReport(now: number): peerOptions.OwnReport {
-    const { enginePlacement, directory, config } = this.#context;
+  #createReport(now: number, scope: peerOptions.ReportScope): peerOptions.OwnReport {
+    const { enginePlacement, directory, config, quarantineAgent } = this.#context;
     const release = config.inForce?.config.release;
     return {
       loads: enginePlacement.listOwnLoads((instance) => this.#handOverAgent.getMoveValue(instance)),
       notices: directory.listLeaveNotices(now),
+      quarantine: quarantineAgent.listNews(scope, now),
       store: release === undefined ? undefined : {
         release,
         confirmAgeMs: config.getConfirmAgeMs(now),
@@ -298,6 +306,7 @@
     for (const notice of report.notices) {
       this.#publishChanges(directory.applyNotice(notice, now));
     }
+    this.#context.quarantineAgent.applyNews(report.quarantine, now);
     const { store } = report;
     if (store === undefined) return;
     this.#storeAgent.applyPeerView(store, reportTiming);
@@ -331,8 +340,9 @@
     }
   }
 
-  #expireInstances(): void {
+  #expireEntries(): void {
     const now = this.#options.clock.now();
+    this.#context.quarantineAgent.expireEvidence(now);
     this.#publishChanges(this.#context.directory.expireInstances(now));
   }
 
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -5,6 +5,7 @@
 import type * as codec from "./codec.ts";
 import type * as pools from "./connection_pool.ts";
 import type * as controls from "./engine_control.ts";
+import type * as quarantines from "./quarantine_agent.ts";
 import type * as settingsModule from "./gateway_settings.ts";
 
 export interface GatewayContext {
@@ -22,6 +23,7 @@
   readonly enginePlacement: policy.EnginePlacement;
   /** Load that other gateway processes place on engines. */
   readonly peerLoads: policy.PeerLoads;
+  readonly quarantineAgent: quarantines.QuarantineAgent;
   readonly engineControl: controls.EngineControl;
   /** Returns the endpoints of `service` that may receive new requests. */
   listEndpoints(service: core.ServiceName): core.EndpointRecord[];
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -14,7 +14,7 @@
     readonly peerAgent: peerAgents.PeerAgent;
   },
 ): void {
-  const { metrics, config, directory, pool, peerLoads, clock } = context;
+  const { metrics, config, directory, pool, peerLoads, quarantineAgent, clock } = context;
   const { streamForwarder, peerAgent } = sources;
   const register = (name: string, help: string, readValue: () => number) =>
     metrics.registerGauge(name, help, { read: readValue });
@@ -39,6 +39,11 @@
     "Endpoints that get new work.",
     () => directory.usableInstanceCount,
   );
+  register(
+    "quarantined_parts",
+    "Prompt parts that are refused because engines crashed on them.",
+    () => quarantineAgent.quarantinedCount,
+  );
   register("opened_connections", "Connections to endpoints.", () => pool.openedCount);
   register("open_links", "Links to other processes.", () => peerAgent.linkCount);
   register("linked_processes", "Processes that report.", () => peerLoads.processCount);
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -11,6 +11,8 @@
 import type * as contexts from "./gateway_context.ts";
 import * as requests from "./open_request.ts";
 import * as problems from "./problems.ts";
+import * as promptParts from "./prompt_parts.ts";
+import * as quarantines from "./quarantine_agent.ts";
 import * as upstreams from "./upstream_stream.ts";
 
 /** Failure of a generation before its caller has received anything. */
@@ -36,6 +38,7 @@
   /** Time at which the current engine's first event arrived. */
   #firstEventAt: number | undefined;
   #lastEventAt: number | undefined;
+  #isSound = false;
   #isHandingOver = false;
   /**
    * Set while the generation is stopped at its engine for a hand-over. The engine's stream then
@@ -67,6 +70,11 @@
     return !this.#isHandingOver && !this.#upstream.hasEnded && this.request.end === undefined;
   }
 
+  /** Ends the generation if it has not produced output yet. */
+  abortUnstarted(reason: string): void {
+    if (this.#deliveredEventCount === 0 && !this.#isHandingOver) this.#upstream.abort(reason);
+  }
+
   /** Number of events sent to the caller. */
   get deliveredEventCount(): number {
     return this.#deliveredEventCount;
@@ -112,11 +120,12 @@
     this.#recordUpstreamEnd(end);
     if (this.request.end !== undefined) return this.#resolveRun(undefined);
     if (end.type === "whole") {
+      if (this.#deliveredEventCount > 0) this.#recordSoundOutput(this.#context.clock.now());
       this.request.finishStream({ status: 200, reason: "streamed", outcome: "completed" });
       return this.#resolveRun(undefined);
     }
     if (end.type === "failed") return this.#answerEngineFailure(end);
-    if (end.outcome === "unknown") this.#recordBreak(end.reason);
+    if (end.outcome === "unknown") this.#recordBreak(end);
     if (!this.request.isHeadSent) {
       return this.#resolveRun({ outcome: end.outcome, reason: end.reason });
     }
@@ -195,7 +204,12 @@
     this.#onStoppedUpstreamEnd = undefined;
     if (this.request.end !== undefined) source.abort("caller_gone");
     if (source.hasEnded) {
-      this.onUpstreamEnd({ type: "broken", outcome: "unknown", reason: "stopped for a move" });
+      this.onUpstreamEnd({
+        type: "broken",
+        outcome: "unknown",
+        reason: "stopped for a move",
+        isConnectionLost: false,
+      });
     }
     return this.#failMove("copy_failed", target, errorType);
   }
@@ -315,18 +329,31 @@
     }
   }
 
-  #recordBreak(reason: string): void {
+  #recordBreak(end: upstreams.UpstreamEnd & { readonly type: "broken" }): void {
     const { clock, logger, metrics } = this.#context;
-    const outputMs = this.#firstEventAt === undefined ? 0 : clock.now() - this.#firstEventAt;
-    metrics.recordBrokenGeneration(outputMs > 0 ? "during_output" : "before_output");
+    const outputMs = this.#firstEventAt === undefined
+      ? undefined
+      : clock.now() - this.#firstEventAt;
+    metrics.recordBrokenGeneration(outputMs === undefined ? "before_output" : "during_output");
     logger.write("stream_broken", {
       request: this.request.id,
       instance: this.endpoint.instance,
-      reason,
+      reason: end.reason,
       events: this.#deliveredEventCount,
-      output_ms: Math.round(outputMs),
-      parts: requests.formatPromptParts(this.request),
+      output_ms: outputMs === undefined ? undefined : Math.round(outputMs),
+      parts: promptParts.formatPromptParts(this.request),
     });
+    if (!end.isConnectionLost) return;
+    const suspect = promptParts.createSuspect(this.request);
+    this.#context.quarantineAgent.recordBreak({ endpoint: this.endpoint, outputMs, suspect });
+  }
+
+  /** Records once that the prompt has produced output and its engine has not crashed. */
+  #recordSoundOutput(now: number): void {
+    if (this.#isSound) return;
+    this.#isSound = true;
+    const parts = promptParts.listSharedParts(this.request);
+    this.#context.quarantineAgent.recordSoundOutput(parts, now);
   }
 
   #recordProgress(eventCount: number, now: number): void {
@@ -338,6 +365,7 @@
     }
     const elapsedMs = this.#lastEventAt === undefined ? undefined : now - this.#lastEventAt;
     this.#firstEventAt ??= now;
+    if (now - this.#firstEventAt >= quarantines.SOUND_OUTPUT_MS) this.#recordSoundOutput(now);
     this.#lastEventAt = now;
     this.#context.enginePlacement.recordProgress(this.endpoint.instance, this.request.id, {
       generatedTokens: this.#deliveredEventCount * tokensPerEvent,
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -26,8 +26,6 @@
 
 /** Time by which an endpoint's deadline precedes the caller's, to leave time for the answer. */
 const ANSWER_MARGIN_MS = 25;
-const MAX_LOGGED_PARTS = 8;
-const MAX_LOGGED_ID_LENGTH = 32;
 
 /** One request of a caller, from its arrival to the end of its response. */
 export class OpenRequest {
@@ -180,17 +178,6 @@
   }
 }
 
-/**
- * Formats the ids of a generation's prompt parts, in order, for logs; undefined if the request
- * declares none. Prompts with more parts are cut off, as a caller chooses their number.
- */
-export function formatPromptParts(request: OpenRequest): string | undefined {
-  const parts = request.head.generation?.parts ?? [];
-  if (parts.length === 0) return undefined;
-  return parts.slice(0, MAX_LOGGED_PARTS).map((part) => part.id.slice(0, MAX_LOGGED_ID_LENGTH))
-    .join(",");
-}
-
 /** Creates the metrics labels of a request; they are empty if no route was found. */
 export function createRequestLabels(routed: RoutedRequest | undefined): core.RequestLabels {
   return {
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -220,13 +220,14 @@
   }
 
   #report(now: number, isForced: boolean): void {
-    const report = this.#options.createReport(now);
+    const report = this.#options.createReport(now, "recent");
     const relayedPeers = this.#listRelayedPeers(now);
-    const { store, notices, loads } = report;
+    const { store, notices, loads, quarantine } = report;
     const { release, isReachable, changed } = store ?? {};
     const audiences = this.#schedule.takeAudiences({
       loads: JSON.stringify(loads),
-      news: JSON.stringify([notices, release, isReachable, changed, relayedPeers]),
+      news: JSON.stringify([notices, release, isReachable, changed, relayedPeers]) +
+        encodeQuarantineNews(quarantine),
       hasRelayedReports: this.isHub && this.#loadExchange.hasQueuedReports("own_zone"),
       isForced,
       isFullMesh: this.#linkPlanner.isFullMesh,
@@ -292,7 +293,7 @@
     const relayed = link.peer !== undefined && this.isHub
       ? this.#loadExchange.listAll(this.#getAudience(link.peer))
       : [];
-    this.#sendReport(link, this.#options.createReport(now), { now, relayedPeers, relayed });
+    this.#sendReport(link, this.#options.createReport(now, "all"), { now, relayedPeers, relayed });
   }
 
   #onMessage(link: peers.PeerLink, message: peers.PeerMessage): void {
@@ -370,3 +371,9 @@
     this.#loadExchange.recordLinkLost(process, this.#options.clock.now());
   }
 }
+
+/** Encodes what the news are about, without their ages, which change all the time. */
+function encodeQuarantineNews(news: policy.QuarantineNews): string {
+  const crashes = news.crashes.map(({ instance, suspects }) => [instance, suspects.length]);
+  return JSON.stringify([crashes, news.soundParts.map(({ part }) => part)]);
+}
--- a/packages/gateway/src/peer_agent_options.ts
+++ b/packages/gateway/src/peer_agent_options.ts
@@ -10,6 +10,7 @@
   readonly loads: readonly policy.EngineLoad[];
   readonly notices: readonly policy.LeaveNotice[];
   readonly store: peers.StoreView | undefined;
+  readonly quarantine: policy.QuarantineNews;
 }
 
 /** When a peer's report arrived, and how it relates to earlier reports. */
@@ -24,12 +25,16 @@
   readonly now: number;
 }
 
+/** Which news a report contains. */
+export type ReportScope = "recent" | "all";
+
 export interface PeerAgentOptions {
   readonly settings: settingsModule.GatewaySettings;
   readonly clock: core.Clock;
   readonly logger: core.Logger;
   readonly peerLoads: policy.PeerLoads;
-  readonly createReport: (now: number) => OwnReport;
+  /** Creates a report with recent news only, or with all news for a peer that has none yet. */
+  readonly createReport: (now: number, scope: ReportScope) => OwnReport;
   /** Called for each report that a peer sends. */
   readonly onReport: (
     report: peers.ProcessReportMessage,
--- a/packages/gateway/src/peer_agent_test.ts
+++ b/packages/gateway/src/peer_agent_test.ts
@@ -45,7 +45,12 @@
       clock: new core.SystemClock(),
       logger: core.createLogger(() => {}, {}),
       peerLoads: this.peerLoads,
-      createReport: () => ({ loads: this.createLoads(), notices: [], store: undefined }),
+      createReport: () => ({
+        loads: this.createLoads(),
+        notices: [],
+        store: undefined,
+        quarantine: { crashes: [], soundParts: [] },
+      }),
       onReport: () => {},
       getReportRefreshIntervalMs: () => 500,
       getConfig: () => undefined,
--- /dev/null
+++ b/packages/gateway/src/quarantine_agent.ts
@@ -0,0 +1,110 @@
+/**
+ * Keeps prompts that crash engines away from further engines. Detects crashes from broken streams,
+ * collects the prompts that may have caused them, which are those whose answers had not begun or
+ * had only just begun, and exchanges this evidence with the other processes.
+ */
+
+import type * as core from "@peridotvale/core";
+import * as policy from "@peridotvale/policy";
+import * as probes from "./connect_probe.ts";
+
+export interface QuarantineAgentOptions {
+  readonly clock: core.Clock;
+  readonly logger: core.Logger;
+  /** Whether `instance` may get new work; one that leaves closes its connections too. */
+  readonly isUsable: (instance: core.InstanceId) => boolean;
+  /** Called when further prompt parts are quarantined. */
+  readonly onQuarantined: (now: number) => void;
+}
+
+/** A generation whose connection to its engine was lost. */
+export interface BrokenGeneration {
+  readonly endpoint: core.EndpointRecord;
+  /** Time since its first event; undefined if it has produced none. */
+  readonly outputMs: number | undefined;
+  readonly suspect: policy.SuspectPrompt;
+}
+
+/** Time for which reports contain news, since a single report may be lost. */
+const NEWS_REPORT_MS = 1_500;
+/** Time for the other streams of a crashed engine to break as well. */
+const COLLECTION_MS = 30;
+/** An engine that accepts no connection within this time is not taken for crashed. */
+const PROBE_TIMEOUT_MS = 500;
+/** A generation that has produced output for this long did not crash its engine by beginning. */
+export const SOUND_OUTPUT_MS = 500;
+
+/** Collects broken generations by engine, and records a crash once it is certain. */
+export class QuarantineAgent {
+  readonly #options: QuarantineAgentOptions;
+  readonly #quarantine = new policy.PromptQuarantine();
+  /** Suspects of the breaks that are being checked. */
+  readonly #suspects = new Map<core.InstanceId, policy.SuspectPrompt[]>();
+
+  constructor(options: QuarantineAgentOptions) {
+    this.#options = options;
+  }
+
+  /** Number of quarantined prompt parts. */
+  get quarantinedCount(): number {
+    return this.#quarantine.size;
+  }
+
+  /** Returns the first of `parts` that is quarantined. */
+  findQuarantined(
+    parts: readonly core.PromptPartId[],
+    now: number,
+  ): policy.QuarantinedPart | undefined {
+    return this.#quarantine.findQuarantined(parts, now);
+  }
+
+  /** Records the loss of a generation's connection to its engine, which may have crashed. */
+  recordBreak(broken: BrokenGeneration): void {
+    const { endpoint, outputMs, suspect } = broken;
+    if (outputMs !== undefined && outputMs >= SOUND_OUTPUT_MS) return;
+    if (!this.#options.isUsable(endpoint.instance)) return;
+    const suspects = this.#suspects.get(endpoint.instance);
+    if (suspects !== undefined) return void suspects.push(suspect);
+    this.#suspects.set(endpoint.instance, [suspect]);
+    setTimeout(() => void this.#checkEngine(endpoint), COLLECTION_MS);
+  }
+
+  /** Records that a prompt with these parts has produced output without a crash. */
+  recordSoundOutput(parts: readonly core.PromptPartId[], now: number): void {
+    this.#publish(this.#quarantine.recordOutput(parts, now), now);
+  }
+
+  /** Lists the evidence for a report to a peer; a peer on a new link gets all of it. */
+  listNews(scope: "recent" | "all", now: number): policy.QuarantineNews {
+    return this.#quarantine.listNews(scope === "all" ? -Infinity : now - NEWS_REPORT_MS, now);
+  }
+
+  applyNews(news: policy.QuarantineNews, now: number): void {
+    this.#publish(this.#quarantine.applyNews(news, now), now);
+  }
+
+  expireEvidence(now: number): void {
+    this.#publish(this.#quarantine.expireEvidence(now), now);
+  }
+
+  async #checkEngine(endpoint: core.EndpointRecord): Promise<void> {
+    const { clock, logger } = this.#options;
+    const { instance } = endpoint;
+    const state = await probes.checkListener(endpoint.endpoint, PROBE_TIMEOUT_MS);
+    const suspects = this.#suspects.get(instance) ?? [];
+    this.#suspects.delete(instance);
+    logger.write("engine_break_checked", { instance, state, suspects: suspects.length });
+    if (state !== "refused") return;
+    const now = clock.now();
+    this.#publish(this.#quarantine.recordCrash({ instance, suspects }, now), now);
+  }
+
+  #publish(changes: policy.QuarantineChanges, now: number): void {
+    const { logger, onQuarantined } = this.#options;
+    for (const { part, crashCount } of changes.added) {
+      logger.write("part_quarantined", { part, crashes: crashCount });
+    }
+    for (const part of changes.released) logger.write("part_released", { part });
+    if (changes.added.length > 0) onQuarantined(now);
+  }
+}
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -7,8 +7,9 @@
 import * as policy from "@peridotvale/policy";
 import type * as contexts from "./gateway_context.ts";
 import * as relays from "./generation_relay.ts";
-import * as requests from "./open_request.ts";
+import type * as requests from "./open_request.ts";
 import * as problems from "./problems.ts";
+import * as promptParts from "./prompt_parts.ts";
 import * as retries from "./retry_decision.ts";
 
 export interface StreamForwarderOptions {
@@ -18,9 +19,10 @@
 }
 
 /** Why a request was not placed at an engine. */
-type NoEngineReason = "caller_gone" | "no_engine_in_time";
+type NoEngineReason = "caller_gone" | "no_engine_in_time" | "prompt_quarantined";
 
 interface EngineWaiter {
+  readonly open: requests.OpenRequest;
   /** Engines that have refused the request. */
   readonly avoid: ReadonlySet<core.InstanceId>;
   readonly resolve: (endpoint: core.EndpointRecord | NoEngineReason) => void;
@@ -98,9 +100,10 @@
   ): Promise<core.EndpointRecord | NoEngineReason> {
     const { context } = this.#options;
     const now = context.clock.now();
+    if (this.#isQuarantined(request, now)) return "prompt_quarantined";
     if (this.#queue.isTooLate(generation, now)) return "no_engine_in_time";
     return await new Promise((resolve) => {
-      this.#waiters.set(generation.request, { avoid, resolve });
+      this.#waiters.set(generation.request, { open: request, avoid, resolve });
       this.#queue.addGeneration(generation, now);
       request.setCancelHandler((reason) => {
         this.#queue.removeGeneration(generation.request);
@@ -113,6 +116,23 @@
     });
   }
 
+  /** Ends the generations with a quarantined part that have not produced output. */
+  applyQuarantine(now: number): void {
+    for (const [id, waiter] of this.#waiters) {
+      if (!this.#isQuarantined(waiter.open, now)) continue;
+      this.#queue.removeGeneration(id);
+      this.#settleWaiter(id, "prompt_quarantined");
+    }
+    for (const relay of this.#relays) {
+      if (this.#isQuarantined(relay.request, now)) relay.abortUnstarted("prompt_quarantined");
+    }
+  }
+
+  #isQuarantined(request: requests.OpenRequest, now: number): boolean {
+    const parts = promptParts.listSharedParts(request);
+    return this.#options.context.quarantineAgent.findQuarantined(parts, now) !== undefined;
+  }
+
   #placeWaiting(): void {
     const { context } = this.#options;
     const now = context.clock.now();
@@ -187,7 +207,7 @@
       instance: options.endpoint.instance,
       waited_ms: Math.round(now - request.arrivedAt),
       waiting: this.#queue.size,
-      parts: requests.formatPromptParts(request),
+      parts: promptParts.formatPromptParts(request),
     });
     const relay = new relays.GenerationRelay(context, { request, routed, ...options });
     this.#relays.add(relay);
@@ -202,10 +222,18 @@
   }
 
   #refuse(request: requests.OpenRequest, reason: string): void {
+    const { quarantineAgent, clock, random } = this.#options.context;
+    const now = clock.now();
+    const quarantined = quarantineAgent.findQuarantined(promptParts.listSharedParts(request), now);
     request.sendProblem(problems.createRequestProblem(503, reason, {
       outcome: "not_run",
-      detail: "no engine takes the generation in time",
-      retryAfterMs: problems.drawRetryAfterMs(this.#options.context.random),
+      detail: quarantined === undefined
+        ? "no engine takes the generation in time"
+        : "engines crashed on a part of this prompt; it is not sent to further ones",
+      // An earlier return would be refused again.
+      retryAfterMs: quarantined === undefined
+        ? problems.drawRetryAfterMs(random)
+        : quarantined.until - now,
     }));
   }
 
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -24,6 +24,8 @@
     readonly type: "broken";
     readonly outcome: core.FailureOutcome;
     readonly reason: string;
+    /** Whether the engine's side of the connection ended, instead of this process closing it. */
+    readonly isConnectionLost: boolean;
   };
 
 /** Receives the events and the end of an upstream stream. */
@@ -79,7 +81,12 @@
   /** Ends the stream and closes the connection to the engine. */
   abort(reason: string): void {
     if (this.#hasEnded) return;
-    this.#end({ type: "broken", outcome: this.#isSent ? "unknown" : "not_run", reason });
+    this.#end({
+      type: "broken",
+      outcome: this.#isSent ? "unknown" : "not_run",
+      reason,
+      isConnectionLost: false,
+    });
     this.#exchange?.abort(reason);
   }
 
@@ -121,7 +128,8 @@
   onEnd(): boolean {
     const fault = this.#fault;
     if (fault !== undefined) {
-      this.#end({ type: "broken", outcome: fault.outcome, reason: fault.reason });
+      const { outcome, reason } = fault;
+      this.#end({ type: "broken", outcome, reason, isConnectionLost: false });
       return fault.outcome === "not_run";
     }
     if (this.#status >= FIRST_NON_SUCCESS_STATUS) {
@@ -130,7 +138,12 @@
       return true;
     }
     if (this.#splitter.pendingBytes > 0) {
-      this.#end({ type: "broken", outcome: "unknown", reason: "ended within an event" });
+      this.#end({
+        type: "broken",
+        outcome: "unknown",
+        reason: "ended within an event",
+        isConnectionLost: true,
+      });
       return false;
     }
     this.#end({ type: "whole" });
@@ -140,7 +153,12 @@
   onError(error: Error): void {
     const outcome = this.#isSent ? "unknown" as const : "not_run" as const;
     const reasonPrefix = this.#isSent ? "broken" : "not_sent";
-    this.#end({ type: "broken", outcome, reason: `${reasonPrefix}: ${error.message}` });
+    this.#end({
+      type: "broken",
+      outcome,
+      reason: `${reasonPrefix}: ${error.message}`,
+      isConnectionLost: this.#isSent,
+    });
   }
 
   #end(end: UpstreamEnd): void {
--- a/packages/peers/src/codec.ts
+++ b/packages/peers/src/codec.ts
@@ -77,7 +77,9 @@
   loads: readonly (string | number)[],
 ];
 
-type WireReport = Omit<messages.ProcessReportMessage, "relayed"> & {
+type WireReport = Omit<messages.ProcessReportMessage, "relayed" | "quarantine"> & {
+  /** Missing if there is none, or if the sender runs a version without quarantine. */
+  readonly quarantine?: policy.QuarantineNews;
   /** Missing if the sender runs a version without hubs. */
   readonly relayed?: readonly WireRelayedLoads[];
 };
@@ -178,7 +180,9 @@
     const { process, zone, incarnation, sentAt, isLost } = report;
     return [process, zone, incarnation, sentAt, isLost, loads];
   });
-  return { ...message, relayed };
+  const { quarantine, ...report } = message;
+  const hasNews = quarantine.crashes.length > 0 || quarantine.soundParts.length > 0;
+  return { ...report, relayed, ...(hasNews ? { quarantine } : {}) };
 }
 
 function decodeReport(wire: WireReport): messages.ProcessReportMessage {
@@ -196,7 +200,7 @@
     }
     return { process, zone, incarnation, sentAt, isLost, loads };
   });
-  return { ...wire, relayed };
+  return { ...wire, relayed, quarantine: wire.quarantine ?? { crashes: [], soundParts: [] } };
 }
 
 function encodeEvents(message: messages.CapacityEventsMessage): WireEvents {
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -89,6 +89,8 @@
   readonly store: StoreView | undefined;
   /** Processes that the sender discovered recently; on a new link, all that it knows. */
   readonly peers: readonly ProcessAddress[];
+  /** Crashes of engines and cleared prompt parts that the sender learned of recently. */
+  readonly quarantine: policy.QuarantineNews;
   /** Loads of other processes that the sender, a hub, passes on since its last report. */
   readonly relayed: readonly policy.RelayedLoads[];
 }
