Keep quarantines in the store, for a fleet whose processes all restart

Callers saw (by test): after a restart of all processes at the same moment, requests with a part that had been quarantined crashed engines again until the fleet had learned the same anew. Cause: the evidence was held by the processes only; the store, the one thing that outlives them, had none of it. Class: fleet knowledge that is lost with the last process that holds it. Change: processes that have seen the crash themselves write the quarantine to the store under a lease of ten minutes; every process reads it with its first listing, so no call is added at start. Output of a prompt with the part removes it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -121,8 +121,14 @@
           scope: this.#peerAgent.electionScope,
           isHub: this.#peerAgent.isHub,
         }),
-      onPeersAnnounced: (peers) => this.#peerAgent.recordAnnouncements(peers),
-      onPeerRemoved: (peer) => this.#peerAgent.recordWithdrawal(peer),
+      onListing: (listing, now) => {
+        this.#peerAgent.recordAnnouncements(listing.peers);
+        this.#context.quarantineAgent.applyListing(listing, now);
+      },
+      onOtherChange: (change, now) => {
+        this.#peerAgent.applyStoreChange(change);
+        this.#context.quarantineAgent.applyStoreChange(change, now);
+      },
       onInstanceChanges: (changes) => this.#publishChanges(changes),
     });
     this.#leaveWatcher = new leaveWatchers.LeaveWatcher({
@@ -224,6 +230,7 @@
       enginePlacement: new policy.EnginePlacement(peerLoads),
       peerLoads,
       quarantineAgent: new quarantines.QuarantineAgent({
+        store: this.#options.store,
         clock,
         logger,
         isUsable: (instance) => directory.isUsable(instance),
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -150,9 +150,10 @@
     if (hasChanged) this.#updateTargets(now);
   }
 
-  /** Records that the announcement of `process` was removed from the store. */
-  recordWithdrawal(process: core.ProcessId): void {
-    this.#registry.recordWithdrawal(process);
+  /** Applies a change of an announcement in the store. */
+  applyStoreChange(change: stores.StoreChange): void {
+    if (change.type === "peer") this.recordAnnouncements([change.peer]);
+    if (change.type === "peer_removed") this.#registry.recordWithdrawal(change.process);
   }
 
   /** Sends a report immediately, for example when peers wait for their turn in a hand-over. */
--- a/packages/gateway/src/prompt_parts.ts
+++ b/packages/gateway/src/prompt_parts.ts
@@ -5,9 +5,9 @@
 import type * as policy from "@peridotvale/policy";
 import type * as requests from "./open_request.ts";
 
-/** Callers choose the number and the length of the ids, so both are limited. */
+/** Callers choose the ids and their number; both are limited, also to fit keys of the store. */
 const MAX_SHARED_PARTS = 32;
-const MAX_ID_LENGTH = 64;
+const PLAIN_ID_PATTERN = /^[\w.:-]{1,64}$/;
 const MAX_LOGGED_PARTS = 8;
 
 /** Lists the parts of a request's prompt that other prompts may share, in order. */
@@ -32,8 +32,8 @@
   return parts.slice(0, MAX_LOGGED_PARTS).map((part) => normalizePartId(part.id)).join(",");
 }
 
-/** Replaces an id of excessive length by its hash. */
+/** Replaces an id that is long or has unusual characters by its hash. */
 function normalizePartId(id: core.PromptPartId): core.PromptPartId {
-  if (id.length <= MAX_ID_LENGTH) return id;
+  if (PLAIN_ID_PATTERN.test(id)) return id;
   return core.createId(crypto.createHash("sha256").update(id).digest("hex"));
 }
--- a/packages/gateway/src/quarantine_agent.ts
+++ b/packages/gateway/src/quarantine_agent.ts
@@ -4,11 +4,14 @@
  * had only just begun, and exchanges this evidence with the other processes.
  */
 
-import type * as core from "@peridotvale/core";
+import * as core from "@peridotvale/core";
 import * as policy from "@peridotvale/policy";
 import * as probes from "./connect_probe.ts";
+import type * as stores from "./routing_store.ts";
 
 export interface QuarantineAgentOptions {
+  /** Keeps quarantines for a fleet whose processes all restart. */
+  readonly store: stores.RoutingStore;
   readonly clock: core.Clock;
   readonly logger: core.Logger;
   /** Whether `instance` may get new work; one that leaves closes its connections too. */
@@ -27,6 +30,10 @@
 
 /** Time for which reports contain news, since a single report may be lost. */
 const NEWS_REPORT_MS = 1_500;
+/** Time for which the store keeps a quarantine. */
+const STORED_TTL_MS = 10 * 60_000;
+const STORE_RETRY_INTERVAL_MS = 2_000;
+const MAX_STORE_ATTEMPTS = 10;
 /** Time for the other streams of a crashed engine to break as well. */
 const COLLECTION_MS = 30;
 /** An engine that accepts no connection within this time is not taken for crashed. */
@@ -71,7 +78,11 @@
 
   /** Records that a prompt with these parts has produced output without a crash. */
   recordSoundOutput(parts: readonly core.PromptPartId[], now: number): void {
-    this.#publish(this.#quarantine.recordOutput(parts, now), now);
+    const changes = this.#quarantine.recordOutput(parts, now);
+    this.#publish(changes, now);
+    for (const part of changes.released) {
+      void this.#writeStore(() => this.#options.store.removeQuarantine(part));
+    }
   }
 
   /** Lists the evidence for a report to a peer; a peer on a new link gets all of it. */
@@ -83,6 +94,22 @@
     this.#publish(this.#quarantine.applyNews(news, now), now);
   }
 
+  applyListing(listing: stores.StoreListing, now: number): void {
+    for (const stored of listing.quarantines) {
+      this.#publish(this.#quarantine.applyStored(stored, now), now);
+    }
+  }
+
+  /** Applies a change of a quarantine in the store. */
+  applyStoreChange(change: stores.StoreChange, now: number): void {
+    if (change.type === "quarantine") {
+      this.#publish(this.#quarantine.applyStored(change.quarantine, now), now);
+    }
+    if (change.type === "quarantine_removed") {
+      this.#publish(this.#quarantine.removeStored(change.part, now), now);
+    }
+  }
+
   expireEvidence(now: number): void {
     this.#publish(this.#quarantine.expireEvidence(now), now);
   }
@@ -96,7 +123,24 @@
     logger.write("engine_break_checked", { instance, state, suspects: suspects.length });
     if (state !== "refused") return;
     const now = clock.now();
-    this.#publish(this.#quarantine.recordCrash({ instance, suspects }, now), now);
+    const changes = this.#quarantine.recordCrash({ instance, suspects }, now);
+    this.#publish(changes, now);
+    // Only processes that have seen the crash themselves write, so that few do.
+    for (const { part, crashCount } of changes.added) {
+      const stored = { part, crashCount };
+      void this.#writeStore(() => this.#options.store.publishQuarantine(stored, STORED_TTL_MS));
+    }
+  }
+
+  /** Writes to the store; an outage of the store must not lose the write. */
+  async #writeStore(write: () => stores.StoreResult<void>): Promise<void> {
+    for (let attempt = 1; attempt <= MAX_STORE_ATTEMPTS; attempt += 1) {
+      const result = await write();
+      if (result.isOk()) return;
+      const { type, detail } = result.error;
+      this.#options.logger.write("quarantine_write_failed", { reason: type, detail });
+      await core.waitFor(STORE_RETRY_INTERVAL_MS);
+    }
   }
 
   #publish(changes: policy.QuarantineChanges, now: number): void {
--- a/packages/gateway/src/routing_store.ts
+++ b/packages/gateway/src/routing_store.ts
@@ -29,11 +29,18 @@
   readonly linkMbps: number;
 }
 
+/** A quarantined prompt part as the store keeps it. */
+export interface StoredQuarantine {
+  readonly part: core.PromptPartId;
+  readonly crashCount: number;
+}
+
 /** Complete contents of the store. */
 export interface StoreListing {
   readonly config: core.RoutingConfig | undefined;
   readonly records: readonly core.EndpointRecord[];
   readonly peers: readonly AnnouncedPeer[];
+  readonly quarantines: readonly StoredQuarantine[];
   /** Store-wide revision at the start of the listing. */
   readonly storeRevision: number;
   /** Descriptions of the entries that could not be decoded. */
@@ -51,6 +58,8 @@
   }
   | { readonly type: "peer"; readonly peer: AnnouncedPeer }
   | { readonly type: "peer_removed"; readonly process: core.ProcessId }
+  | { readonly type: "quarantine"; readonly quarantine: StoredQuarantine }
+  | { readonly type: "quarantine_removed"; readonly part: core.PromptPartId }
   | { readonly type: "unreadable"; readonly detail: string };
 
 /** Changes that one watch call delivered. */
@@ -78,4 +87,7 @@
   publishPeer(self: AnnouncedPeer, ttlMs: number): StoreResult<string>;
   /** Renews the lease of an announcement. Returns false if the lease has expired. */
   renewAnnouncement(lease: string): StoreResult<boolean>;
+  /** Stores a quarantine, unless the store has it already; the store drops it after `ttlMs`. */
+  publishQuarantine(quarantine: StoredQuarantine, ttlMs: number): StoreResult<void>;
+  removeQuarantine(part: core.PromptPartId): StoreResult<void>;
 }
--- a/packages/gateway/src/store_agent.ts
+++ b/packages/gateway/src/store_agent.ts
@@ -45,8 +45,10 @@
   readonly getElectionScope: () => policy.ElectionScope;
   /** Returns the pauses between calls while the store fails. */
   readonly getRetryIntervals: () => policy.StoreRetryIntervals;
-  readonly onPeersAnnounced: (peers: readonly stores.AnnouncedPeer[]) => void;
-  readonly onPeerRemoved: (process: core.ProcessId) => void;
+  /** Called with each listing; its configuration and endpoints are applied already. */
+  readonly onListing: (listing: stores.StoreListing, now: number) => void;
+  /** Called for each change that concerns neither the configuration nor an endpoint. */
+  readonly onOtherChange: (change: stores.StoreChange, now: number) => void;
   readonly onInstanceChanges: (changes: readonly policy.InstanceChange[], now: number) => void;
 }
 
@@ -222,9 +224,9 @@
       changes: changes.length,
     });
     this.#options.onInstanceChanges(changes, now);
-    this.#options.onPeersAnnounced(listing.value.peers);
     const config = listing.value.config;
     if (config !== undefined) this.#adoptConfig(config, { sentAt, from: "listing" });
+    this.#options.onListing(listing.value, now);
     return true;
   }
 
@@ -287,12 +289,10 @@
           directory.removeRecord(change.instance, change.revision, now),
           now,
         );
-      case "peer":
-        return this.#options.onPeersAnnounced([change.peer]);
-      case "peer_removed":
-        return this.#options.onPeerRemoved(change.process);
       case "unreadable":
-        logger.write("entry_unreadable", { detail: change.detail });
+        return logger.write("entry_unreadable", { detail: change.detail });
+      default:
+        return this.#options.onOtherChange(change, now);
     }
   }
 
--- a/packages/policy/src/crash_attribution.ts
+++ b/packages/policy/src/crash_attribution.ts
@@ -58,13 +58,17 @@
 /**
  * Lists the parts to which the crashes are attributed. `soundAt` holds the time at which a prompt
  * with the part last produced output without a crash; crashes before that time do not count.
+ * Crashes with a part that is known to be harmful need no further explanation.
  */
 export function listHarmfulParts(
   crashes: readonly EngineCrash[],
   soundAt: ReadonlyMap<core.PromptPartId, number>,
+  knownParts: readonly core.PromptPartId[] = [],
 ): HarmfulPart[] {
   const harmfulParts: HarmfulPart[] = [];
-  let unexplained = crashes.toSorted((left, right) => left.at - right.at);
+  let unexplained = crashes
+    .filter((crash) => !knownParts.some((part) => hasSuspectWith(crash, part)))
+    .toSorted((left, right) => left.at - right.at);
   for (;;) {
     const strikes = chooseMostSuspect(countStrikes(unexplained, soundAt));
     if (strikes === undefined) return harmfulParts;
--- a/packages/policy/src/prompt_quarantine.ts
+++ b/packages/policy/src/prompt_quarantine.ts
@@ -44,6 +44,11 @@
   learnedAt: number;
 }
 
+/** A quarantine that the store keeps; its crashes may not be known here. */
+interface StoredPart extends QuarantinedPart {
+  readonly learnedAt: number;
+}
+
 interface SoundPart {
   readonly at: number;
   /** Time at which output that matters to a known crash became known here. */
@@ -76,6 +81,7 @@
   readonly #cleared = new Map<core.PromptPartId, SoundPart>();
   /** Parts of the suspects of all known crashes. */
   readonly #suspectedParts = new Set<core.PromptPartId>();
+  readonly #stored = new Map<core.PromptPartId, StoredPart>();
   #quarantined = new Map<core.PromptPartId, QuarantinedPart>();
 
   /** Number of quarantined parts. */
@@ -126,6 +132,21 @@
     return hasChanged ? this.#update(now) : NO_CHANGES;
   }
 
+  /** Applies a quarantine that the store keeps for processes that start without peers. */
+  applyStored(
+    stored: { readonly part: core.PromptPartId; readonly crashCount: number },
+    now: number,
+  ): QuarantineChanges {
+    if (this.#stored.has(stored.part) || this.#stored.size >= MAX_CRASHES) return NO_CHANGES;
+    this.#stored.set(stored.part, { ...stored, learnedAt: now, until: now + QUARANTINE_MS });
+    return this.#update(now);
+  }
+
+  /** Applies the removal of a quarantine from the store. */
+  removeStored(part: core.PromptPartId, now: number): QuarantineChanges {
+    return this.#stored.delete(part) ? this.#update(now) : NO_CHANGES;
+  }
+
   /** Lists the evidence that became known here after `since`, for reports to peers. */
   listNews(since: number, now: number): QuarantineNews {
     const crashes: CrashReport[] = [];
@@ -145,12 +166,13 @@
       if (now - at <= SOUND_RETENTION_MS) break;
       this.#recentOutput.delete(part);
     }
-    if (this.#crashes.length === 0) return NO_CHANGES;
+    if (this.#crashes.length === 0 && this.#stored.size === 0) return NO_CHANGES;
     const kept = this.#crashes.filter((crash) => now - crash.at <= CRASH_RETENTION_MS);
     const hasDropped = kept.length < this.#crashes.length;
     const hasEnded = [...this.#quarantined.values()].some((entry) => now >= entry.until);
     if (!hasDropped && !hasEnded) return NO_CHANGES;
     this.#crashes = kept;
+    for (const [part, { until }] of this.#stored) if (now >= until) this.#stored.delete(part);
     return this.#update(now);
   }
 
@@ -198,7 +220,11 @@
       return false;
     }
     const clearedAt = this.#cleared.get(part)?.at;
-    if (clearedAt !== undefined && !this.#hasCrashBetween(part, clearedAt, at)) return false;
+    const storedAt = this.#stored.get(part)?.learnedAt;
+    const clearsStored = storedAt !== undefined && at > storedAt;
+    const isKnown = clearedAt !== undefined && !this.#hasCrashBetween(part, clearedAt, at);
+    if (isKnown && !clearsStored) return false;
+    if (clearsStored) this.#stored.delete(part);
     this.#cleared.set(part, { at, learnedAt: now });
     return true;
   }
@@ -225,8 +251,9 @@
   #update(now: number): QuarantineChanges {
     this.#dropUnsuspectedParts();
     const soundAt = new Map([...this.#cleared].map(([part, { at }]) => [part, at]));
-    const quarantined = new Map<core.PromptPartId, QuarantinedPart>();
-    for (const harmful of attribution.listHarmfulParts(this.#crashes, soundAt)) {
+    const quarantined = new Map<core.PromptPartId, QuarantinedPart>(this.#stored);
+    const knownParts = [...this.#stored.keys()];
+    for (const harmful of attribution.listHarmfulParts(this.#crashes, soundAt, knownParts)) {
       const { part, crashCount, lastCrashAt } = harmful;
       const until = lastCrashAt + QUARANTINE_MS;
       if (now < until) quarantined.set(part, { part, crashCount, until });
@@ -241,6 +268,7 @@
 
   #dropUnsuspectedParts(): void {
     this.#suspectedParts.clear();
+    for (const part of this.#stored.keys()) this.#suspectedParts.add(part);
     for (const { suspects } of this.#crashes) {
       for (const part of suspects.flatMap((suspect) => suspect.parts)) {
         this.#suspectedParts.add(part);
--- a/packages/policy/src/prompt_quarantine_test.ts
+++ b/packages/policy/src/prompt_quarantine_test.ts
@@ -154,6 +154,23 @@
   t.end();
 });
 
+tap.t.test("a quarantine from the store holds without evidence, until it is removed", (t) => {
+  const quarantine = new quarantines.PromptQuarantine();
+  quarantine.applyStored({ part: HARMFUL, crashCount: 2 }, 1_000);
+  t.notOk(isFree(quarantine, HARMFUL, 2_000));
+  // Its crashes must not be attributed to the parts beside it.
+  for (let i = 1; i <= 4; i += 1) quarantine.recordCrash(createHarmfulCrash(i), 2_000 + i * 1_000);
+  t.ok(isFree(quarantine, TENANT, 7_000));
+  t.same(quarantine.removeStored(HARMFUL, 7_000).released, []);
+  t.notOk(isFree(quarantine, HARMFUL, 7_000), "its crashes are known now");
+  const other = new quarantines.PromptQuarantine();
+  other.applyStored({ part: HARMFUL, crashCount: 2 }, 1_000);
+  t.same(other.recordOutput([HARMFUL], 2_000).released, [HARMFUL], "output clears it");
+  other.applyStored({ part: SYSTEM, crashCount: 2 }, 1_000);
+  t.same(other.expireEvidence(1_000 + 10 * MINUTE_MS).released, [SYSTEM]);
+  t.end();
+});
+
 tap.t.test("evidence is bounded, whatever callers send", (t) => {
   const quarantine = new quarantines.PromptQuarantine();
   for (let i = 1; i <= 400; i += 1) {
