A stream without length or chunks that ends before its first event is broken

Callers would see: status 200 and an empty stream that looks complete. Cause: every orderly end of such a connection counted as the end of the answer. Class: an end that is also what a failure looks like. The check for a cut event existed, that for no event did not.

--- a/packages/gateway/src/connection_pool.ts
+++ b/packages/gateway/src/connection_pool.ts
@@ -253,7 +253,7 @@
 }
 
 /** Whether the headers delimit the body; otherwise the body ends when the connection closes. */
-function hasBodyFraming(headers: readonly string[]): boolean {
+export function hasBodyFraming(headers: readonly string[]): boolean {
   for (let i = 0; i < headers.length; i += 2) {
     const name = headers[i]!.toLowerCase();
     if (name === "content-length" || name === "transfer-encoding") return true;
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -114,7 +114,8 @@
     this.request.onDrained(() => upstream.resume());
   }
 
-  onUpstreamEnd(end: upstreams.UpstreamEnd): void {
+  onUpstreamEnd(upstreamEnd: upstreams.UpstreamEnd): void {
+    const end = this.#checkUnframedEnd(upstreamEnd);
     const onStoppedUpstreamEnd = this.#onStoppedUpstreamEnd;
     if (onStoppedUpstreamEnd !== undefined && end.type === "broken") return onStoppedUpstreamEnd();
     this.#recordUpstreamEnd(end);
@@ -329,6 +330,20 @@
     }
   }
 
+  /**
+   * Converts the end of an answer without length or chunks that has brought no event: its
+   * connection may also have ended because the engine crashed.
+   */
+  #checkUnframedEnd(end: upstreams.UpstreamEnd): upstreams.UpstreamEnd {
+    if (end.type !== "whole" || !end.isUnframed || this.#deliveredEventCount > 0) return end;
+    return {
+      type: "broken",
+      outcome: "unknown",
+      reason: "ended without an event",
+      isConnectionLost: true,
+    };
+  }
+
   #recordBreak(end: upstreams.UpstreamEnd & { readonly type: "broken" }): void {
     const { clock, logger, metrics } = this.#context;
     const outputMs = this.#firstEventAt === undefined
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -6,12 +6,16 @@
 import type * as core from "@peridotvale/core";
 import * as answers from "./answer_check.ts";
 import type * as codec from "./codec.ts";
-import type * as pools from "./connection_pool.ts";
+import * as pools from "./connection_pool.ts";
 import * as splitters from "./event_splitter.ts";
 
 export type UpstreamEnd =
   /** The engine ended the stream normally, after a complete event. */
-  | { readonly type: "whole" }
+  | {
+    readonly type: "whole";
+    /** Whether the end is that of the connection, because the answer has neither length nor chunks. */
+    readonly isUnframed: boolean;
+  }
   /** The engine answered with a status that is not a success. */
   | {
     readonly type: "failed";
@@ -146,7 +150,7 @@
       });
       return false;
     }
-    this.#end({ type: "whole" });
+    this.#end({ type: "whole", isUnframed: !pools.hasBodyFraming(this.#headers) });
     return true;
   }
 
