Do not choose an engine that has crashed while its entry remains

Cause: a refused connection was treated as a refused generation, which keeps an engine out for 0.4 s at one process only; without load the crashed engine then looked best, until its entry expired after about 2.5 s. Class: a failure of an endpoint handled as a failure of one request. Change: a crash that this process or a peer has confirmed keeps the engine out for 3.2 s; refused connections keep it out twice as long each time until it answers.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -234,6 +234,7 @@
         clock,
         logger,
         isUsable: (instance) => directory.isUsable(instance),
+        onCrash: (instance, now) => this.#context.enginePlacement.recordCrash(instance, now),
         onQuarantined: (now) => this.#streamForwarder.applyQuarantine(now),
       }),
       engineControl: this.#options.engineControl,
@@ -247,7 +248,7 @@
       listEngines: (service) => {
         const profile = config.inForce?.config.services.get(service)?.engine;
         const records = this.#listConnectableEndpoints(service);
-        if (profile === undefined) return records.map(createUnprofiledEngine);
+        if (profile === undefined) return records.map(policy.createUnprofiledEngine);
         return records.map((record) => ({ record, profile }));
       },
     };
@@ -375,19 +376,6 @@
   }
 }
 
-/** Creates the candidate for an engine without a profile, which is limited by its slots only. */
-function createUnprofiledEngine(record: core.EndpointRecord): policy.EngineCandidate {
-  return {
-    record,
-    profile: {
-      slots: record.slots,
-      memoryTokens: Infinity,
-      tokensPerEvent: 1,
-      canMove: false,
-    },
-  };
-}
-
 function listenAt(
   server: http.Server,
   address: settingsModule.ListenAddress,
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -114,8 +114,7 @@
     this.request.onDrained(() => upstream.resume());
   }
 
-  onUpstreamEnd(upstreamEnd: upstreams.UpstreamEnd): void {
-    const end = this.#checkUnframedEnd(upstreamEnd);
+  onUpstreamEnd(end: upstreams.UpstreamEnd): void {
     const onStoppedUpstreamEnd = this.#onStoppedUpstreamEnd;
     if (onStoppedUpstreamEnd !== undefined && end.type === "broken") return onStoppedUpstreamEnd();
     this.#recordUpstreamEnd(end);
@@ -209,6 +208,7 @@
         type: "broken",
         outcome: "unknown",
         reason: "stopped for a move",
+        isSent: true,
         isConnectionLost: false,
       });
     }
@@ -262,6 +262,7 @@
       endpoint,
       request: this.request.id,
       codec: this.#context.codec,
+      hasDelivered: this.#deliveredEventCount > 0,
       listener: this,
     });
   }
@@ -324,26 +325,16 @@
     const now = this.#context.clock.now();
     this.#context.enginePlacement.recordEnd(instance, this.request.id);
     if (end.type !== "broken") return;
-    if (end.outcome === "not_run") this.#context.enginePlacement.recordRefusal(instance, now);
+    if (end.outcome === "not_run") {
+      const { enginePlacement } = this.#context;
+      if (end.isSent) enginePlacement.recordRefusal(instance, now);
+      else enginePlacement.recordUnreachable(instance, now);
+    }
     if (end.reason === "misdirected") {
       this.#context.publishChanges(this.#context.directory.recordMisdirected(instance, now));
     }
   }
 
-  /**
-   * Converts the end of an answer without length or chunks that has brought no event: its
-   * connection may also have ended because the engine crashed.
-   */
-  #checkUnframedEnd(end: upstreams.UpstreamEnd): upstreams.UpstreamEnd {
-    if (end.type !== "whole" || !end.isUnframed || this.#deliveredEventCount > 0) return end;
-    return {
-      type: "broken",
-      outcome: "unknown",
-      reason: "ended without an event",
-      isConnectionLost: true,
-    };
-  }
-
   #recordBreak(end: upstreams.UpstreamEnd & { readonly type: "broken" }): void {
     const { clock, logger, metrics } = this.#context;
     const outputMs = this.#firstEventAt === undefined
--- a/packages/gateway/src/quarantine_agent.ts
+++ b/packages/gateway/src/quarantine_agent.ts
@@ -16,6 +16,8 @@
   readonly logger: core.Logger;
   /** Whether `instance` may get new work; one that leaves closes its connections too. */
   readonly isUsable: (instance: core.InstanceId) => boolean;
+  /** Called for each crash that this process or a peer has just seen. */
+  readonly onCrash: (instance: core.InstanceId, now: number) => void;
   /** Called when further prompt parts are quarantined. */
   readonly onQuarantined: (now: number) => void;
 }
@@ -144,7 +146,8 @@
   }
 
   #publish(changes: policy.QuarantineChanges, now: number): void {
-    const { logger, onQuarantined } = this.#options;
+    const { logger, onCrash, onQuarantined } = this.#options;
+    for (const instance of changes.crashed) onCrash(instance, now);
     for (const { part, crashCount } of changes.added) {
       logger.write("part_quarantined", { part, crashes: crashCount });
     }
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -11,11 +11,7 @@
 
 export type UpstreamEnd =
   /** The engine ended the stream normally, after a complete event. */
-  | {
-    readonly type: "whole";
-    /** Whether the end is that of the connection, because the answer has neither length nor chunks. */
-    readonly isUnframed: boolean;
-  }
+  | { readonly type: "whole" }
   /** The engine answered with a status that is not a success. */
   | {
     readonly type: "failed";
@@ -28,6 +24,8 @@
     readonly type: "broken";
     readonly outcome: core.FailureOutcome;
     readonly reason: string;
+    /** Whether a connection existed, so that the engine may have received the request. */
+    readonly isSent: boolean;
     /** Whether the engine's side of the connection ended, instead of this process closing it. */
     readonly isConnectionLost: boolean;
   };
@@ -55,6 +53,7 @@
   readonly #splitter = new splitters.EventSplitter();
   readonly #failureChunks: Buffer[] = [];
   #exchange: pools.Exchange | undefined;
+  #hasDelivered: boolean;
   #isSent = false;
   #hasEnded = false;
   #fault: answers.AnswerFault | undefined;
@@ -65,8 +64,11 @@
     readonly endpoint: core.EndpointRecord;
     readonly request: core.RequestId;
     readonly codec: codec.HeaderCodec;
+    /** Whether the generation has delivered events from another engine before. */
+    readonly hasDelivered: boolean;
     readonly listener: UpstreamListener;
   }) {
+    this.#hasDelivered = options.hasDelivered;
     this.endpoint = options.endpoint;
     this.#request = options.request;
     this.#codec = options.codec;
@@ -89,6 +91,7 @@
       type: "broken",
       outcome: this.#isSent ? "unknown" : "not_run",
       reason,
+      isSent: this.#isSent,
       isConnectionLost: false,
     });
     this.#exchange?.abort(reason);
@@ -125,7 +128,10 @@
       return;
     }
     const events = this.#splitter.push(chunk);
-    if (events.length > 0) this.#listener.onEvents(events);
+    if (events.length > 0) {
+      this.#hasDelivered = true;
+      this.#listener.onEvents(events);
+    }
     if (this.#splitter.pendingBytes > MAX_EVENT_BYTES) this.abort("event too large");
   }
 
@@ -133,7 +139,7 @@
     const fault = this.#fault;
     if (fault !== undefined) {
       const { outcome, reason } = fault;
-      this.#end({ type: "broken", outcome, reason, isConnectionLost: false });
+      this.#end({ type: "broken", outcome, reason, isSent: true, isConnectionLost: false });
       return fault.outcome === "not_run";
     }
     if (this.#status >= FIRST_NON_SUCCESS_STATUS) {
@@ -141,16 +147,20 @@
       this.#end({ type: "failed", status: this.#status, headers: this.#headers, body });
       return true;
     }
-    if (this.#splitter.pendingBytes > 0) {
+    const isUnstarted = !this.#hasDelivered && !pools.hasBodyFraming(this.#headers);
+    if (this.#splitter.pendingBytes > 0 || isUnstarted) {
+      // A connection that delimits the answer ends in the same way if the engine crashes.
+      const reason = isUnstarted ? "ended without an event" : "ended within an event";
       this.#end({
         type: "broken",
         outcome: "unknown",
-        reason: "ended within an event",
+        reason,
+        isSent: true,
         isConnectionLost: true,
       });
       return false;
     }
-    this.#end({ type: "whole", isUnframed: !pools.hasBodyFraming(this.#headers) });
+    this.#end({ type: "whole" });
     return true;
   }
 
@@ -161,6 +171,7 @@
       type: "broken",
       outcome,
       reason: `${reasonPrefix}: ${error.message}`,
+      isSent: this.#isSent,
       isConnectionLost: this.#isSent,
     });
   }
--- a/packages/policy/src/engine_placement.ts
+++ b/packages/policy/src/engine_placement.ts
@@ -31,6 +31,8 @@
 interface TrackedEngine {
   readonly runs: Map<core.RequestId, Run>;
   avoidUntil: number;
+  /** Failed connections since the engine last answered. */
+  failedConnections: number;
   /** Whether the engine gets no new work; its entry is removed once its runs have ended. */
   hasLeft: boolean;
   hasGenerated: boolean;
@@ -51,8 +53,12 @@
 const MOST_URGENT_RANK = 0;
 /** Minimum further output predicted for a run, as a share of its output so far. */
 const OVERRUN_SHARE = 0.25;
-/** How long an engine is avoided after it refused a generation or could not be reached. */
+/** How long an engine is avoided after it refused a generation. */
 const REFUSAL_AVOID_MS = 400;
+/** How long an engine is avoided after a failed connection; doubles with each further one. */
+const MIN_UNREACHABLE_AVOID_MS = 400;
+/** Short enough for an engine that restarts under the same id to be found again. */
+const MAX_UNREACHABLE_AVOID_MS = 3_200;
 /** Prefill speed assumed for every engine: that of the slowest. */
 const PROMPT_TOKENS_PER_MS = 14;
 const SPEED_SMOOTHING_WEIGHT = 0.1;
@@ -71,6 +77,19 @@
   return size.promptTokens + Math.min(size.maxOutputTokens, outputTokens);
 }
 
+/** Creates the candidate for an engine without a profile, which is limited by its slots only. */
+export function createUnprofiledEngine(record: core.EndpointRecord): EngineCandidate {
+  return {
+    record,
+    profile: {
+      slots: record.slots,
+      memoryTokens: Infinity,
+      tokensPerEvent: 1,
+      canMove: false,
+    },
+  };
+}
+
 /** An engine with room for a generation. */
 interface ScoredEngine extends spreads.SpreadCandidate {
   readonly record: core.EndpointRecord;
@@ -171,6 +190,7 @@
     if (run === undefined) return;
     run.generatedTokens = progress.generatedTokens;
     run.hasStarted = true;
+    engine.failedConnections = 0;
     if (progress.tokenMs === undefined) return;
     engine.hasGenerated = true;
     engine.tokenMs += SPEED_SMOOTHING_WEIGHT * (progress.tokenMs - engine.tokenMs);
@@ -198,9 +218,27 @@
     return Number.isFinite(fastestTokenMs) ? fastestTokenMs : 0;
   }
 
-  /** Records that an engine refused a generation or could not be reached. */
+  /** Records that an engine refused a generation. */
   recordRefusal(instance: core.InstanceId, now: number): void {
-    this.#getEngine(instance).avoidUntil = now + REFUSAL_AVOID_MS;
+    const engine = this.#getEngine(instance);
+    engine.failedConnections = 0;
+    engine.avoidUntil = now + REFUSAL_AVOID_MS;
+  }
+
+  /**
+   * Records that an engine accepts no connections, as after a crash. Its entry remains until it
+   * expires, and without load it would look like the best engine.
+   */
+  recordUnreachable(instance: core.InstanceId, now: number): void {
+    const engine = this.#getEngine(instance);
+    const avoidMs = MIN_UNREACHABLE_AVOID_MS * 2 ** engine.failedConnections;
+    engine.failedConnections += 1;
+    engine.avoidUntil = now + Math.min(avoidMs, MAX_UNREACHABLE_AVOID_MS);
+  }
+
+  /** Records that an engine has crashed; it takes some seconds to start again. */
+  recordCrash(instance: core.InstanceId, now: number): void {
+    this.#getEngine(instance).avoidUntil = now + MAX_UNREACHABLE_AVOID_MS;
   }
 
   /** Records that an instance gets no new work, and removes it once its runs have ended. */
@@ -227,6 +265,7 @@
       engine = {
         runs: new Map(),
         avoidUntil: -Infinity,
+        failedConnections: 0,
         hasLeft: false,
         hasGenerated: false,
         tokenMs: INITIAL_TOKEN_MS,
--- a/packages/policy/src/engine_placement_test.ts
+++ b/packages/policy/src/engine_placement_test.ts
@@ -103,3 +103,30 @@
   t.equal(placement.listOwnLoads(() => 0).length, 1);
   t.end();
 });
+
+// Without load, an engine that has crashed looks best until its entry expires.
+tap.t.test("an engine that accepts no connections is avoided for longer each time", (t) => {
+  const placement = new placements.EnginePlacement(new peers.PeerLoads());
+  const [candidate] = createCandidates(1);
+  const { instance } = candidate!.record;
+  const isChosen = (now: number) =>
+    placement.chooseEngine([candidate!], LONG_RUN_SIZE, createOptions(now)) !== undefined;
+  let now = 0;
+  let attempts = 0;
+  for (; now < 10_000; now += 50) {
+    if (!isChosen(now)) continue;
+    attempts += 1;
+    placement.recordUnreachable(instance, now);
+  }
+  t.ok(attempts <= 6, `${attempts} attempts in 10 s`);
+  t.ok(isChosen(now + 3_200), "it is found again after a restart");
+  const request = core.createId<core.RequestId>("r");
+  placement.recordStart(instance, request, LONG_RUN_SIZE);
+  placement.recordProgress(instance, request, { generatedTokens: 4, tokenMs: 9 });
+  placement.recordEnd(instance, request);
+  placement.recordUnreachable(instance, 20_000);
+  t.ok(isChosen(20_400), "an answer ends the longer waits");
+  placement.recordCrash(instance, 30_000);
+  t.notOk(isChosen(31_000));
+  t.end();
+});
--- a/packages/policy/src/prompt_quarantine.ts
+++ b/packages/policy/src/prompt_quarantine.ts
@@ -36,6 +36,8 @@
 export interface QuarantineChanges {
   readonly added: readonly QuarantinedPart[];
   readonly released: readonly core.PromptPartId[];
+  /** Instances of crashes that became known and are recent. */
+  readonly crashed: readonly core.InstanceId[];
 }
 
 interface KnownCrash extends attribution.EngineCrash {
@@ -70,7 +72,7 @@
 const SOUND_RETENTION_MS = 60_000;
 const MAX_SOUND_PARTS = 4_096;
 
-const NO_CHANGES: QuarantineChanges = { added: [], released: [] };
+const NO_CHANGES: QuarantineChanges = { added: [], released: [], crashed: [] };
 
 /** Crashes with their suspects, the parts that are cleared of them, and the conclusions. */
 export class PromptQuarantine {
@@ -110,7 +112,8 @@
     },
     now: number,
   ): QuarantineChanges {
-    return this.#mergeCrash({ ...crash, at: now }, now) ? this.#update(now) : NO_CHANGES;
+    if (!this.#mergeCrash({ ...crash, at: now }, now)) return NO_CHANGES;
+    return { ...this.#update(now), crashed: [crash.instance] };
   }
 
   /** Records that a prompt with `parts` produces output and its engine has not crashed. */
@@ -123,13 +126,16 @@
   /** Applies the evidence that a peer reports. */
   applyNews(news: QuarantineNews, now: number): QuarantineChanges {
     let hasChanged = false;
+    const crashed: core.InstanceId[] = [];
     for (const { instance, ageMs, suspects } of news.crashes) {
-      hasChanged = this.#mergeCrash({ instance, at: now - ageMs, suspects }, now) || hasChanged;
+      if (!this.#mergeCrash({ instance, at: now - ageMs, suspects }, now)) continue;
+      hasChanged = true;
+      if (ageMs <= SAME_CRASH_MS) crashed.push(instance);
     }
     for (const { part, ageMs } of news.soundParts) {
       hasChanged = this.#recordSoundPart(part, now - ageMs, now) || hasChanged;
     }
-    return hasChanged ? this.#update(now) : NO_CHANGES;
+    return hasChanged ? { ...this.#update(now), crashed } : NO_CHANGES;
   }
 
   /** Applies a quarantine that the store keeps for processes that start without peers. */
@@ -263,6 +269,7 @@
     return {
       added: [...quarantined.values()].filter((entry) => !previous.has(entry.part)),
       released: [...previous.keys()].filter((part) => !quarantined.has(part)),
+      crashed: [],
     };
   }
 
