--- a/packages/gateway/src/answer_check_test.ts
+++ b/packages/gateway/src/answer_check_test.ts
@@ -9,6 +9,7 @@
   isMisdirected: false,
   isClosing: false,
   isGenuine: true,
+  rateLimitPerS: undefined,
   isEncoded: false,
 };
 
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -115,6 +115,7 @@
   ): Promise<AttemptResult> {
     const { endpoint, history } = options;
     history.triedInstances.add(endpoint.instance);
+    request.instance = endpoint.instance;
     const startedAt = this.#context.clock.now();
     const remainingMs = request.getRemainingMs(startedAt);
     const mayRetry = routed.route.kind === "idempotent" &&
@@ -125,6 +126,8 @@
       const call = new CallExchange({
         request,
         codec: this.#context.codec,
+        onLimit: (ratePerS) =>
+          this.#context.limitAgent.recordAnswer(endpoint.instance, { ratePerS, sentAt: startedAt }),
         onEnd: (result) => {
           clearTimeout(timer);
           request.setCancelHandler(undefined);
@@ -226,6 +229,8 @@
   readonly #options: {
     readonly request: requests.OpenRequest;
     readonly codec: codec.HeaderCodec;
+    /** Called with the limit that the answer names, or undefined if it names none. */
+    readonly onLimit: (ratePerS: number | undefined) => void;
     readonly onEnd: (result: AttemptResult) => void;
   };
   #exchange: pools.Exchange | undefined;
@@ -240,6 +245,7 @@
   constructor(options: {
     readonly request: requests.OpenRequest;
     readonly codec: codec.HeaderCodec;
+    readonly onLimit: (ratePerS: number | undefined) => void;
     readonly onEnd: (result: AttemptResult) => void;
   }) {
     this.#options = options;
@@ -270,7 +276,11 @@
   onHead(status: number, headers: codec.RawHeaders): void {
     this.#answerStatus = status;
     this.#answerHeaders = headers;
-    this.#answerHead = this.#options.codec.decodeAnswer(status, headers);
+    const { codec, request, onLimit } = this.#options;
+    const head = codec.decodeAnswer(status, headers);
+    this.#answerHead = head;
+    const fault = answers.findAnswerFault(status, head, request.id);
+    if (fault?.outcome !== "unknown") onLimit(head.rateLimitPerS);
   }
 
   onData(chunk: Buffer): void {
--- a/packages/gateway/src/codec.ts
+++ b/packages/gateway/src/codec.ts
@@ -64,6 +64,11 @@
   readonly isGenuine: boolean;
   /** Whether the endpoint closes the connection after the answer, as a leaving endpoint does. */
   readonly isClosing: boolean;
+  /**
+   * Requests per second that the endpoint takes from all processes together; undefined if it names
+   * no limit.
+   */
+  readonly rateLimitPerS: number | undefined;
   /** Whether the body has a content encoding; if so, an intermediary has changed the answer. */
   readonly isEncoded: boolean;
 }
--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -45,3 +45,14 @@
     return this.#incompleteEvent.length;
   }
 }
+
+/**
+ * Whether an event follows the last one that the caller has received. After a hand-over, the new
+ * engine may resend events that the caller has already received.
+ */
+export function isUndelivered(event: StreamEvent, lastEventId: string | undefined): boolean {
+  if (event.id === undefined || lastEventId === undefined) return true;
+  const eventId = Number(event.id);
+  const lastDeliveredId = Number(lastEventId);
+  return Number.isNaN(eventId) || Number.isNaN(lastDeliveredId) || eventId > lastDeliveredId;
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import type * as settingsModule from "./gateway_settings.ts";
 import * as handOvers from "./hand_over_agent.ts";
 import * as leaveWatchers from "./leave_watcher.ts";
+import * as limitAgents from "./limit_agent.ts";
 import * as peerAgents from "./peer_agent.ts";
 import type * as peerOptions from "./peer_agent_options.ts";
 import * as quarantines from "./quarantine_agent.ts";
@@ -229,6 +230,7 @@
       callPlacement: new policy.CallPlacement(),
       enginePlacement: new policy.EnginePlacement(peerLoads),
       peerLoads,
+      limitAgent: new limitAgents.LimitAgent({ clock, logger }),
       quarantineAgent: new quarantines.QuarantineAgent({
         store: this.#options.store,
         clock,
@@ -344,6 +346,7 @@
       this.#context.pool.closeIdle(record.endpoint);
       this.#context.callPlacement.dropInstance(record.instance);
       this.#context.enginePlacement.dropInstance(record.instance);
+      this.#context.limitAgent.dropInstance(record.instance);
       void this.#handOverAgent.moveGenerations(record);
     }
   }
@@ -351,6 +354,7 @@
   #expireEntries(): void {
     const now = this.#options.clock.now();
     this.#context.quarantineAgent.expireEvidence(now);
+    this.#context.limitAgent.expireLimits(now);
     this.#publishChanges(this.#context.directory.expireInstances(now));
   }
 
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -5,6 +5,7 @@
 import type * as codec from "./codec.ts";
 import type * as pools from "./connection_pool.ts";
 import type * as controls from "./engine_control.ts";
+import type * as limitAgents from "./limit_agent.ts";
 import type * as quarantines from "./quarantine_agent.ts";
 import type * as settingsModule from "./gateway_settings.ts";
 
@@ -23,6 +24,7 @@
   readonly enginePlacement: policy.EnginePlacement;
   /** Load that other gateway processes place on engines. */
   readonly peerLoads: policy.PeerLoads;
+  readonly limitAgent: limitAgents.LimitAgent;
   readonly quarantineAgent: quarantines.QuarantineAgent;
   readonly engineControl: controls.EngineControl;
   /** Returns the endpoints of `service` that may receive new requests. */
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -14,7 +14,8 @@
     readonly peerAgent: peerAgents.PeerAgent;
   },
 ): void {
-  const { metrics, config, directory, pool, peerLoads, quarantineAgent, clock } = context;
+  const { metrics, config, directory, pool, peerLoads, quarantineAgent, limitAgent, clock } =
+    context;
   const { streamForwarder, peerAgent } = sources;
   const register = (name: string, help: string, readValue: () => number) =>
     metrics.registerGauge(name, help, { read: readValue });
@@ -44,6 +45,11 @@
     "Prompt parts that are refused because engines crashed on them.",
     () => quarantineAgent.quarantinedCount,
   );
+  register(
+    "limited_endpoints",
+    "Endpoints that name a limit on their request rate.",
+    () => limitAgent.limitedCount,
+  );
   register("opened_connections", "Connections to endpoints.", () => pool.openedCount);
   register("open_links", "Links to other processes.", () => peerAgent.linkCount);
   register("linked_processes", "Processes that report.", () => peerLoads.processCount);
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -7,7 +7,7 @@
 import type * as core from "@peridotvale/core";
 import type * as policy from "@peridotvale/policy";
 import type * as codec from "./codec.ts";
-import type * as splitters from "./event_splitter.ts";
+import * as splitters from "./event_splitter.ts";
 import type * as contexts from "./gateway_context.ts";
 import * as requests from "./open_request.ts";
 import * as problems from "./problems.ts";
@@ -37,6 +37,8 @@
   #lastEventId: string | undefined;
   /** Time at which the current engine's first event arrived. */
   #firstEventAt: number | undefined;
+  /** Time at which the request was sent to the current engine. */
+  #sentAt = -Infinity;
   #lastEventAt: number | undefined;
   #isSound = false;
   #isHandingOver = false;
@@ -98,9 +100,16 @@
     this.request.startStream(status, headers);
   }
 
+  onLimit(ratePerS: number | undefined): void {
+    const answer = { ratePerS, sentAt: this.#sentAt };
+    this.#context.limitAgent.recordAnswer(this.endpoint.instance, answer);
+  }
+
   onEvents(events: readonly splitters.StreamEvent[]): void {
     const now = this.#context.clock.now();
-    const undeliveredEvents = events.filter((event) => this.#isUndelivered(event));
+    const undeliveredEvents = events.filter((event) =>
+      splitters.isUndelivered(event, this.#lastEventId)
+    );
     if (undeliveredEvents.length === 0 || this.request.end !== undefined) return;
     this.#deliveredEventCount += undeliveredEvents.length;
     this.#lastEventId = undeliveredEvents.at(-1)?.id ?? this.#lastEventId;
@@ -271,6 +280,8 @@
     const upstream = this.#upstream;
     const { endpoint } = upstream;
     this.#firstEventAt = undefined;
+    this.#sentAt = this.#context.clock.now();
+    this.request.instance = endpoint.instance;
     if (memory === undefined) {
       this.#context.enginePlacement.recordStart(endpoint.instance, this.request.id, this.size);
     }
@@ -378,15 +389,4 @@
       tokenMs: elapsedMs === undefined ? undefined : elapsedMs / (eventCount * tokensPerEvent),
     });
   }
-
-  /**
-   * Whether the caller has not received `event` yet. After a hand-over, the new engine may
-   * resend events that the caller has already received.
-   */
-  #isUndelivered(event: splitters.StreamEvent): boolean {
-    if (event.id === undefined || this.#lastEventId === undefined) return true;
-    const eventId = Number(event.id);
-    const lastDeliveredId = Number(this.#lastEventId);
-    return Number.isNaN(eventId) || Number.isNaN(lastDeliveredId) || eventId > lastDeliveredId;
-  }
 }
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -40,6 +40,8 @@
   /** Time at which the answer is due; a new configuration with a shorter time-out lowers it. */
   answerBy = Infinity;
   end: RequestEnd | undefined;
+  /** Instance that the request was last sent to. */
+  instance: core.InstanceId | undefined;
   /** Whether the caller closed its connection before the answer was complete. */
   isCallerGone = false;
   readonly #response: http.ServerResponse;
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -289,6 +289,7 @@
       request: request.id,
       route: request.routed?.route.name,
       workspace: request.routed?.workspace,
+      instance: request.instance,
       status: request.end?.status ?? 0,
       reason: request.end?.reason ?? "unread",
       outcome: request.end?.outcome ?? "not_run",
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -34,6 +34,8 @@
 export interface UpstreamListener {
   /** Called when a successful answer begins, before its first events. */
   onStart(status: number, headers: codec.RawHeaders): void;
+  /** Called with the limit that the engine's answer names, or undefined if it names none. */
+  onLimit(ratePerS: number | undefined): void;
   onEvents(events: readonly splitters.StreamEvent[]): void;
   onUpstreamEnd(end: UpstreamEnd): void;
 }
@@ -114,6 +116,7 @@
     this.#status = status;
     this.#headers = headers;
     this.#fault = answers.findAnswerFault(status, head, this.#request);
+    if (this.#fault?.outcome !== "unknown") this.#listener.onLimit(head.rateLimitPerS);
     if (this.#fault?.outcome === "unknown") return this.abort(this.#fault.reason);
     if (this.#hasEnded || this.#fault !== undefined || status >= FIRST_NON_SUCCESS_STATUS) return;
     this.#listener.onStart(status, headers);
