Keep each process to its share of the limits that endpoints name

Cause: nothing read the limit; and a limit for all processes together cannot be kept by one process alone. Class: a shared limit without a share (as for retries and connections, which are divided). Evidence: the same rates before and after the first naming (15.0 and 11.6, 11.0 and 13.6 a second), single processes near the limit by themselves, a process that heard of it 9.6 s later. Change: limits travel in the process reports; each process sends at most its equal share, in turns of one interval, and unused turns lapse so that they do not add up. Placement leaves out endpoints whose turn has not come, for new requests, retries and hand-overs; generations wait, calls that no endpoint may get are refused at once with the time of the next turn. An answer to a later request that names no limit ends it everywhere.

--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -122,6 +122,7 @@
       history.ranAttempts + 1 < routed.route.maxAttempts;
     const attemptTimeoutMs = mayRetry ? remainingMs * ATTEMPT_TIME_SHARE : Infinity;
     this.#context.callPlacement.recordStart(endpoint.instance, startedAt);
+    this.#context.limitAgent.recordSend(endpoint.instance, startedAt);
     return new Promise((resolve) => {
       const call = new CallExchange({
         request,
@@ -216,10 +217,16 @@
     const isLate = history.lastFailureReason === "timeout" ||
       request.getRemainingMs(this.#context.clock.now()) <= 0;
     const status = policy.chooseFailureStatus(history.outcome, { isLate });
-    request.sendProblem(problems.createRequestProblem(status, history.lastFailureReason, {
+    const limitWaitMs = this.#context.getLimitWaitMs(routed.service, this.#context.clock.now());
+    const isLimited = limitWaitMs > 0 && history.triedInstances.size === 0;
+    const reason = isLimited ? "endpoints_limited" : history.lastFailureReason;
+    const spreadMs = problems.drawRetryAfterMs(this.#context.random);
+    request.sendProblem(problems.createRequestProblem(status, reason, {
       outcome: history.outcome,
-      detail: `no endpoint of ${routed.service} answered`,
-      retryAfterMs: status === 503 ? problems.drawRetryAfterMs(this.#context.random) : undefined,
+      detail: isLimited
+        ? `the endpoints of ${routed.service} have limited their request rates`
+        : `no endpoint of ${routed.service} answered`,
+      retryAfterMs: status === 503 ? limitWaitMs + spreadMs : undefined,
     }));
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import * as gauges from "./gateway_metrics.ts";
 import type * as settingsModule from "./gateway_settings.ts";
 import * as handOvers from "./hand_over_agent.ts";
+import * as healthServers from "./health_server.ts";
 import * as leaveWatchers from "./leave_watcher.ts";
 import * as limitAgents from "./limit_agent.ts";
 import * as peerAgents from "./peer_agent.ts";
@@ -49,7 +50,6 @@
 /** Part of the grace period reserved for closing the remaining requests before SIGKILL. */
 const EXIT_MARGIN_MS = 500;
 const DRAIN_POLL_INTERVAL_MS = 50;
-const METRICS_PATH = "/metrics";
 
 export class Gateway {
   readonly #options: GatewayOptions;
@@ -145,9 +145,11 @@
       streamForwarder: this.#streamForwarder,
     });
     this.#frontServer = this.#createFrontServer();
-    this.#healthServer = http.createServer((request, response) =>
-      this.#answerHealthRequest(request, response)
-    );
+    this.#healthServer = healthServers.createHealthServer({
+      metrics: this.#context.metrics,
+      getReadinessPath: () => this.#context.settings.readinessPath,
+      isReady: () => this.isReady,
+    });
   }
 
   /** Whether the process is not draining and has both a configuration and a directory listing. */
@@ -230,7 +232,13 @@
       callPlacement: new policy.CallPlacement(),
       enginePlacement: new policy.EnginePlacement(peerLoads),
       peerLoads,
-      limitAgent: new limitAgents.LimitAgent({ clock, logger }),
+      limitAgent: new limitAgents.LimitAgent({
+        clock,
+        logger,
+        random,
+        getFleetSize: () => this.#peerAgent.knownPeerCount + 1,
+        countPrecedingPeers: () => this.#peerAgent.countPrecedingPeers(),
+      }),
       quarantineAgent: new quarantines.QuarantineAgent({
         store: this.#options.store,
         clock,
@@ -247,6 +255,8 @@
       publishChanges: (changes) => this.#publishChanges(changes),
       getEngineProfile: (service) => config.inForce?.config.services.get(service)?.engine,
       listEndpoints: (service) => this.#listConnectableEndpoints(service),
+      getLimitWaitMs: (service, now) =>
+        this.#context.limitAgent.getWaitMs(directory.listUsableEndpoints(service), now),
       listEngines: (service) => {
         const profile = config.inForce?.config.services.get(service)?.engine;
         const records = this.#listConnectableEndpoints(service);
@@ -257,12 +267,15 @@
   }
 
   /**
-   * Returns the usable endpoints to which this process has an idle connection or may open another
-   * one. Each process may use an equal part of the service's connection limit.
+   * Returns the usable endpoints that this process may send to now: their own limits permit it, and
+   * there is an idle connection or room for another one. Each process may use an equal part of the
+   * service's connection limit.
    */
   #listConnectableEndpoints(service: core.ServiceName): core.EndpointRecord[] {
-    const { config, directory, pool } = this.#context;
-    const records = directory.listUsableEndpoints(service);
+    const { config, directory, pool, limitAgent } = this.#context;
+    const now = this.#options.clock.now();
+    const records = directory.listUsableEndpoints(service)
+      .filter((record) => limitAgent.canSend(record.instance, now));
     const maxConnections = config.inForce?.config.services.get(service)?.maxConnections;
     if (maxConnections === undefined) return records;
     const connectionLimit = Math.max(
@@ -291,12 +304,13 @@
   }
 
   #createReport(now: number, scope: peerOptions.ReportScope): peerOptions.OwnReport {
-    const { enginePlacement, directory, config, quarantineAgent } = this.#context;
+    const { enginePlacement, directory, config, quarantineAgent, limitAgent } = this.#context;
     const release = config.inForce?.config.release;
     return {
       loads: enginePlacement.listOwnLoads((instance) => this.#handOverAgent.getMoveValue(instance)),
       notices: directory.listLeaveNotices(now),
       quarantine: quarantineAgent.listNews(scope, now),
+      limits: limitAgent.listNews(scope, now),
       store: release === undefined ? undefined : {
         release,
         confirmAgeMs: config.getConfirmAgeMs(now),
@@ -317,6 +331,7 @@
       this.#publishChanges(directory.applyNotice(notice, now));
     }
     this.#context.quarantineAgent.applyNews(report.quarantine, now);
+    this.#context.limitAgent.applyNews(report.limits, now);
     const { store } = report;
     if (store === undefined) return;
     this.#storeAgent.applyPeerView(store, reportTiming);
@@ -366,18 +381,6 @@
     }
     return budget;
   }
-
-  #answerHealthRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-    if (request.url === METRICS_PATH) {
-      return void gauges.writeMetrics(this.#context.metrics, response);
-    }
-    if (request.url !== this.#context.settings.readinessPath) {
-      response.writeHead(404);
-      return void response.end();
-    }
-    response.writeHead(this.isReady ? 200 : 503, { "content-type": "text/plain" });
-    response.end(this.isReady ? "ready\n" : "not ready\n");
-  }
 }
 
 function listenAt(
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -29,6 +29,8 @@
   readonly engineControl: controls.EngineControl;
   /** Returns the endpoints of `service` that may receive new requests. */
   listEndpoints(service: core.ServiceName): core.EndpointRecord[];
+  /** Returns the time until a limit of an endpoint of `service` permits a request; 0 if one does. */
+  getLimitWaitMs(service: core.ServiceName, now: number): number;
   /** Returns the engines of `service` that may receive new generations. */
   listEngines(service: core.ServiceName): policy.EngineCandidate[];
   getEngineProfile(service: core.ServiceName): core.EngineProfile | undefined;
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -106,6 +106,12 @@
     return this.#registry.size;
   }
 
+  /** Returns the number of known processes whose names precede this one's. */
+  countPrecedingPeers(): number {
+    const { process } = this.#options.settings;
+    return this.#registry.listAddresses().filter((peer) => peer.process < process).length;
+  }
+
   /** Processes among which one watches the store. */
   get electionScope(): policy.ElectionScope {
     return this.#linkPlanner.isFullMesh ? "zone" : "fleet";
@@ -223,12 +229,12 @@
   #report(now: number, isForced: boolean): void {
     const report = this.#options.createReport(now, "recent");
     const relayedPeers = this.#listRelayedPeers(now);
-    const { store, notices, loads, quarantine } = report;
+    const { store, notices, loads } = report;
     const { release, isReachable, changed } = store ?? {};
     const audiences = this.#schedule.takeAudiences({
       loads: JSON.stringify(loads),
       news: JSON.stringify([notices, release, isReachable, changed, relayedPeers]) +
-        encodeQuarantineNews(quarantine),
+        encodeNewsSubjects(report),
       hasRelayedReports: this.isHub && this.#loadExchange.hasQueuedReports("own_zone"),
       isForced,
       isFullMesh: this.#linkPlanner.isFullMesh,
@@ -374,7 +380,9 @@
 }
 
 /** Encodes what the news are about, without their ages, which change all the time. */
-function encodeQuarantineNews(news: policy.QuarantineNews): string {
-  const crashes = news.crashes.map(({ instance, suspects }) => [instance, suspects.length]);
-  return JSON.stringify([crashes, news.soundParts.map(({ part }) => part)]);
+function encodeNewsSubjects({ quarantine, limits }: types.OwnReport): string {
+  const crashes = quarantine.crashes.map(({ instance, suspects }) => [instance, suspects.length]);
+  const soundParts = quarantine.soundParts.map(({ part }) => part);
+  const limitRates = limits.map(({ instance, ratePerS }) => [instance, ratePerS]);
+  return JSON.stringify([crashes, soundParts, limitRates]);
 }
--- a/packages/gateway/src/peer_agent_options.ts
+++ b/packages/gateway/src/peer_agent_options.ts
@@ -11,6 +11,7 @@
   readonly notices: readonly policy.LeaveNotice[];
   readonly store: peers.StoreView | undefined;
   readonly quarantine: policy.QuarantineNews;
+  readonly limits: readonly policy.LimitReport[];
 }
 
 /** When a peer's report arrived, and how it relates to earlier reports. */
--- a/packages/gateway/src/peer_agent_test.ts
+++ b/packages/gateway/src/peer_agent_test.ts
@@ -50,6 +50,7 @@
         notices: [],
         store: undefined,
         quarantine: { crashes: [], soundParts: [] },
+        limits: [],
       }),
       onReport: () => {},
       getReportRefreshIntervalMs: () => 500,
--- a/packages/peers/src/codec.ts
+++ b/packages/peers/src/codec.ts
@@ -77,9 +77,11 @@
   loads: readonly (string | number)[],
 ];
 
-type WireReport = Omit<messages.ProcessReportMessage, "relayed" | "quarantine"> & {
+type WireReport = Omit<messages.ProcessReportMessage, "relayed" | "quarantine" | "limits"> & {
   /** Missing if there is none, or if the sender runs a version without quarantine. */
   readonly quarantine?: policy.QuarantineNews;
+  /** Missing if there are none, or if the sender runs a version that does not report them. */
+  readonly limits?: readonly policy.LimitReport[];
   /** Missing if the sender runs a version without hubs. */
   readonly relayed?: readonly WireRelayedLoads[];
 };
@@ -180,9 +182,14 @@
     const { process, zone, incarnation, sentAt, isLost } = report;
     return [process, zone, incarnation, sentAt, isLost, loads];
   });
-  const { quarantine, ...report } = message;
+  const { quarantine, limits, ...report } = message;
   const hasNews = quarantine.crashes.length > 0 || quarantine.soundParts.length > 0;
-  return { ...report, relayed, ...(hasNews ? { quarantine } : {}) };
+  return {
+    ...report,
+    relayed,
+    ...(hasNews ? { quarantine } : {}),
+    ...(limits.length > 0 ? { limits } : {}),
+  };
 }
 
 function decodeReport(wire: WireReport): messages.ProcessReportMessage {
@@ -200,7 +207,13 @@
     }
     return { process, zone, incarnation, sentAt, isLost, loads };
   });
-  return { ...wire, relayed, quarantine: wire.quarantine ?? { crashes: [], soundParts: [] } };
+  const quarantine = wire.quarantine ?? { crashes: [], soundParts: [] };
+  // msgpack has no undefined: the rate of an ended limit arrives as null.
+  const limits = (wire.limits ?? []).map((limit) => ({
+    ...limit,
+    ratePerS: limit.ratePerS ?? undefined,
+  }));
+  return { ...wire, relayed, quarantine, limits };
 }
 
 function encodeEvents(message: messages.CapacityEventsMessage): WireEvents {
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -91,6 +91,8 @@
   readonly peers: readonly ProcessAddress[];
   /** Crashes of engines and cleared prompt parts that the sender learned of recently. */
   readonly quarantine: policy.QuarantineNews;
+  /** Limits of endpoints that the sender learned of recently, and those that have ended. */
+  readonly limits: readonly policy.LimitReport[];
   /** Loads of other processes that the sender, a hub, passes on since its last report. */
   readonly relayed: readonly policy.RelayedLoads[];
 }
