--- a/packages/standins/src/test_fleet.ts
+++ b/packages/standins/src/test_fleet.ts
@@ -140,3 +140,12 @@
   }
   throw new Error(`no engine runs a generation for request ${requestId}`);
 }
+
+/** Reads the orders that all engines have received. */
+export async function readOrders(
+  engines: readonly testHarness.StartedProcess[],
+): Promise<engineStandin.OrderLedgerEntry[]> {
+  const orders: engineStandin.OrderLedgerEntry[] = [];
+  for (const engine of engines) orders.push(...(await readEngineLedger(engine)).orders);
+  return orders;
+}
--- a/packages/standins/src/test_harness.ts
+++ b/packages/standins/src/test_harness.ts
@@ -7,6 +7,7 @@
 import * as path from "node:path";
 import * as url from "node:url";
 import * as undici from "undici";
+import * as cleanup from "./child_cleanup.ts";
 
 export { waitFor } from "@peridotvale/core";
 
@@ -263,6 +264,7 @@
     const child = childProcess.spawn(process.execPath, [...args], {
       stdio: ["ignore", "pipe", "pipe"],
     });
+    cleanup.registerChild(child);
     const lines: string[] = [];
     const exited = new Promise<number | null>((resolve) => child.once("exit", resolve));
     return new Promise((resolve, reject) => {
