A generation that has lost two engines as it began is not sent to a third

Change: an attempt that may have run and ended before eight new tokens counts as fruitless; after two of them the request fails with attempts_exhausted.

--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -72,6 +72,9 @@
   #endpoint: core.EndpointId | undefined;
   #generationId: core.GenerationId | undefined;
   #attemptCount = 0;
+  #fruitlessAttemptCount = 0;
+  /** Tokens that the caller had when the current attempt started. */
+  #deliveredAtStart = 0;
   #attemptIdCount = 0;
   #idleResumeCount = 0;
   #knownOutcome: core.FailureOutcome = "not_run";
@@ -207,6 +210,7 @@
 
   async #startGeneration(): Promise<AttemptResult> {
     this.#attemptCount += 1;
+    this.#deliveredAtStart = this.#position.delivered;
     const endpoint = this.#endpoint!;
     const stream = await this.#context.client.startGeneration(endpoint, {
       attempt: this.#createAttemptId(),
@@ -357,12 +361,17 @@
       this.#releaseAttempt(true);
       return neverthrow.ok("start");
     }
+    const progressTokens = this.#position.delivered - this.#deliveredAtStart;
+    const isFruitless = !failure.resumable && failure.outcome !== "not_run" &&
+      progressTokens < policy.MIN_PROGRESS_TOKENS;
+    if (isFruitless) this.#fruitlessAttemptCount += 1;
     const retry = policy.chooseGenerationRetry({
       outcome: failure.outcome,
       streamed: this.#request.streamed,
       deliveredTokens: this.#position.delivered,
       resumable: failure.resumable && this.#idleResumeCount < MAX_IDLE_RESUME_COUNT,
       attempts: this.#attemptCount,
+      fruitlessAttempts: this.#fruitlessAttemptCount,
       budgetLeft: this.#context.retryBudget.isRetryAllowed(),
       deadlineAt: this.#resolvedGeneration.deadlineAt,
     }, this.#now());
--- a/packages/policy/src/retry_policy.ts
+++ b/packages/policy/src/retry_policy.ts
@@ -13,6 +13,8 @@
   readonly resumable: boolean;
   /** Attempts so far, including this one. */
   readonly attempts: number;
+  /** Attempts so far that may have run and ended without progress, including this one. */
+  readonly fruitlessAttempts: number;
   /** Whether the retry budget allows one more attempt. */
   readonly budgetLeft: boolean;
   readonly deadlineAt: number;
@@ -60,6 +62,13 @@
 
 /** Maximum attempts of one generation; resumptions are not included. */
 export const MAX_GENERATION_ATTEMPTS = 5;
+/**
+ * Engines that one generation may lose as it begins. The second loss makes it likely that the prompt
+ * crashes engines, and each further attempt would end the generations of others.
+ */
+export const MAX_FRUITLESS_ATTEMPTS = 2;
+/** Tokens beyond those that the caller had before, from which an attempt has made progress. */
+export const MIN_PROGRESS_TOKENS = 8;
 export const MAX_CALL_ATTEMPTS = 3;
 
 /** Chooses the next step of a generation, preferring to resume it where it runs. */
@@ -71,7 +80,9 @@
     return { type: "stop", reason: "deadline_exceeded" };
   }
   if (attempt.resumable) return { type: "resume" };
-  if (attempt.attempts >= MAX_GENERATION_ATTEMPTS) {
+  const isExhausted = attempt.attempts >= MAX_GENERATION_ATTEMPTS ||
+    attempt.fruitlessAttempts >= MAX_FRUITLESS_ATTEMPTS;
+  if (isExhausted) {
     return { type: "stop", reason: "attempts_exhausted" };
   }
   if (!attempt.budgetLeft && isRetryCharged(attempt.outcome)) {
--- a/packages/policy/src/retry_policy_test.ts
+++ b/packages/policy/src/retry_policy_test.ts
@@ -19,6 +19,7 @@
   deliveredTokens: fc.integer({ min: 0, max: 10 }),
   resumable: fc.boolean(),
   attempts: fc.integer({ min: 1, max: 8 }),
+  fruitlessAttempts: fc.integer({ min: 0, max: 3 }),
   budgetLeft: fc.boolean(),
   deadlineAt: fc.integer({ min: 0, max: 100 }),
 });
@@ -52,7 +53,14 @@
 // budget although no engine has done any work.
 tap.t.test("attempts that no engine took need no retry budget, all others do", (t) => {
   fc.assert(fc.property(generations, (attempt) => {
-    const open = { ...attempt, resumable: false, attempts: 1, budgetLeft: false, deadlineAt: 100 };
+    const open = {
+      ...attempt,
+      resumable: false,
+      attempts: 1,
+      fruitlessAttempts: 0,
+      budgetLeft: false,
+      deadlineAt: 100,
+    };
     const retry = retries.chooseGenerationRetry(open, 0);
     if (attempt.outcome === "not_run") return retry.type !== "stop";
     return retry.type === "stop" && retry.reason === "retry_budget_exhausted";
@@ -63,6 +71,18 @@
   t.end();
 });
 
+// A prompt that crashes engines would otherwise cost one engine for each attempt.
+tap.t.test(
+  "a generation that has lost two engines as it began is not restarted",
+  (t) => {
+    fc.assert(fc.property(generations, times, (attempt, now) => {
+      const retry = retries.chooseGenerationRetry({ ...attempt, fruitlessAttempts: 2 }, now);
+      return retry.type === "stop" || retry.type === "resume";
+    }));
+    t.end();
+  },
+);
+
 tap.t.test("the outcome of a request is not_run only if every attempt was not_run", (t) => {
   fc.assert(fc.property(fc.array(outcomes, { minLength: 1 }), (attempts) => {
     const mergedOutcome = attempts.reduce(retries.mergeOutcomes);
