--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -220,7 +220,7 @@
   },
   {
     name: "stream events delivered before a hand-over are not delivered again",
-    file: "packages/gateway/src/generation_relay.ts",
+    file: "packages/gateway/src/event_splitter.ts",
     from:
       "return Number.isNaN(eventId) || Number.isNaN(lastDeliveredId) || eventId > lastDeliveredId;",
     to: "return true;",
@@ -229,8 +229,8 @@
   {
     name: "a stream that ends in the middle of an event is incomplete",
     file: "packages/gateway/src/upstream_stream.ts",
-    from: "if (this.#splitter.pendingBytes > 0) {",
-    to: "if (this.#splitter.pendingBytes < 0) {",
+    from: "if (this.#splitter.pendingBytes > 0 || isUnstarted) {",
+    to: "if (isUnstarted) {",
     test: "platform/dist/streams_test.js",
   },
   {
