Name the cause of a broken stream; store quarantines concluded from peers' news; mutations

A caller that left before its connection was made kept the engine out as if it were unreachable: the cause (answer, aborted, connect_failed, connection_lost) now tells them apart. A quarantine that is concluded from a peer's report is stored too, by the processes that have seen a crash under the part. Five mutations for the quarantine and the limits.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -14,6 +14,41 @@
 }
 
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "a prompt with a quarantined part is not sent to engines",
+    file: "packages/gateway/src/stream_forwarder.ts",
+    from: 'if (this.#isQuarantined(request, now)) return "prompt_quarantined";',
+    to: "",
+    test: "platform/dist/harmful_part_test.js",
+  },
+  {
+    name: "quarantines outlive a restart of all processes",
+    file: "packages/gateway/src/quarantine_agent.ts",
+    from: "for (const stored of listing.quarantines) {",
+    to: "for (const stored of listing.quarantines.slice(0, 0)) {",
+    test: "platform/dist/harmful_part_test.js",
+  },
+  {
+    name: "processes share the evidence of crashes",
+    file: "packages/gateway/src/gateway.ts",
+    from: "this.#context.quarantineAgent.applyNews(report.quarantine, now);",
+    to: "",
+    test: "platform/dist/harmful_part_test.js",
+  },
+  {
+    name: "no process exceeds its share of a limit that an endpoint names",
+    file: "packages/gateway/src/gateway.ts",
+    from: ".filter((record) => limitAgent.canSend(record.instance, now));",
+    to: ";",
+    test: "platform/dist/named_limit_test.js",
+  },
+  {
+    name: "the processes of a fleet divide a limit among them",
+    file: "packages/policy/src/endpoint_limits.ts",
+    from: "return 1_000 * fleetSize / limit.ratePerS;",
+    to: "return 1_000 / limit.ratePerS;",
+    test: "packages/policy/dist/endpoint_limits_test.js",
+  },
   {
     name: "a call whose bytes may have reached the instance has an unknown outcome",
     file: "packages/gateway/src/call_forwarder.ts",
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -217,8 +217,7 @@
         type: "broken",
         outcome: "unknown",
         reason: "stopped for a move",
-        isSent: true,
-        isConnectionLost: false,
+        cause: "aborted",
       });
     }
     return this.#failMove("copy_failed", target, errorType);
@@ -336,11 +335,9 @@
     const now = this.#context.clock.now();
     this.#context.enginePlacement.recordEnd(instance, this.request.id);
     if (end.type !== "broken") return;
-    if (end.outcome === "not_run") {
-      const { enginePlacement } = this.#context;
-      if (end.isSent) enginePlacement.recordRefusal(instance, now);
-      else enginePlacement.recordUnreachable(instance, now);
-    }
+    const { enginePlacement } = this.#context;
+    if (end.cause === "connect_failed") enginePlacement.recordUnreachable(instance, now);
+    else if (end.outcome === "not_run") enginePlacement.recordRefusal(instance, now);
     if (end.reason === "misdirected") {
       this.#context.publishChanges(this.#context.directory.recordMisdirected(instance, now));
     }
@@ -360,7 +357,7 @@
       output_ms: outputMs === undefined ? undefined : Math.round(outputMs),
       parts: promptParts.formatPromptParts(this.request),
     });
-    if (!end.isConnectionLost) return;
+    if (end.cause !== "connection_lost") return;
     const suspect = promptParts.createSuspect(this.request);
     this.#context.quarantineAgent.recordBreak({ endpoint: this.endpoint, outputMs, suspect });
   }
--- a/packages/gateway/src/quarantine_agent.ts
+++ b/packages/gateway/src/quarantine_agent.ts
@@ -36,6 +36,7 @@
 const STORED_TTL_MS = 10 * 60_000;
 const STORE_RETRY_INTERVAL_MS = 2_000;
 const MAX_STORE_ATTEMPTS = 10;
+const MAX_OWN_PARTS = 1_024;
 /** Time for the other streams of a crashed engine to break as well. */
 const COLLECTION_MS = 30;
 /** An engine that accepts no connection within this time is not taken for crashed. */
@@ -49,6 +50,8 @@
   readonly #quarantine = new policy.PromptQuarantine();
   /** Suspects of the breaks that are being checked. */
   readonly #suspects = new Map<core.InstanceId, policy.SuspectPrompt[]>();
+  /** Parts of prompts that this process has sent to engines that crashed. */
+  readonly #ownParts = new Set<core.PromptPartId>();
 
   constructor(options: QuarantineAgentOptions) {
     this.#options = options;
@@ -125,13 +128,13 @@
     logger.write("engine_break_checked", { instance, state, suspects: suspects.length });
     if (state !== "refused") return;
     const now = clock.now();
-    const changes = this.#quarantine.recordCrash({ instance, suspects }, now);
-    this.#publish(changes, now);
-    // Only processes that have seen the crash themselves write, so that few do.
-    for (const { part, crashCount } of changes.added) {
-      const stored = { part, crashCount };
-      void this.#writeStore(() => this.#options.store.publishQuarantine(stored, STORED_TTL_MS));
-    }
+    for (const part of suspects.flatMap((suspect) => suspect.parts)) this.#recordOwnPart(part);
+    this.#publish(this.#quarantine.recordCrash({ instance, suspects }, now), now);
+  }
+
+  #recordOwnPart(part: core.PromptPartId): void {
+    if (this.#ownParts.size >= MAX_OWN_PARTS) this.#ownParts.clear();
+    this.#ownParts.add(part);
   }
 
   /** Writes to the store; an outage of the store must not lose the write. */
@@ -150,6 +153,10 @@
     for (const instance of changes.crashed) onCrash(instance, now);
     for (const { part, crashCount } of changes.added) {
       logger.write("part_quarantined", { part, crashes: crashCount });
+      // Only processes that have seen a crash under the part write, so that few do.
+      if (!this.#ownParts.has(part)) continue;
+      const stored = { part, crashCount };
+      void this.#writeStore(() => this.#options.store.publishQuarantine(stored, STORED_TTL_MS));
     }
     for (const part of changes.released) logger.write("part_released", { part });
     if (changes.added.length > 0) onQuarantined(now);
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -22,7 +22,7 @@
 type NoEngineReason = "caller_gone" | "no_engine_in_time" | "prompt_quarantined";
 
 interface EngineWaiter {
-  readonly open: requests.OpenRequest;
+  readonly openRequest: requests.OpenRequest;
   /** Engines that have refused the request. */
   readonly avoid: ReadonlySet<core.InstanceId>;
   readonly resolve: (endpoint: core.EndpointRecord | NoEngineReason) => void;
@@ -103,7 +103,7 @@
     if (this.#isQuarantined(request, now)) return "prompt_quarantined";
     if (this.#queue.isTooLate(generation, now)) return "no_engine_in_time";
     return await new Promise((resolve) => {
-      this.#waiters.set(generation.request, { open: request, avoid, resolve });
+      this.#waiters.set(generation.request, { openRequest: request, avoid, resolve });
       this.#queue.addGeneration(generation, now);
       request.setCancelHandler((reason) => {
         this.#queue.removeGeneration(generation.request);
@@ -119,7 +119,7 @@
   /** Ends the generations with a quarantined part that have not produced output. */
   applyQuarantine(now: number): void {
     for (const [id, waiter] of this.#waiters) {
-      if (!this.#isQuarantined(waiter.open, now)) continue;
+      if (!this.#isQuarantined(waiter.openRequest, now)) continue;
       this.#queue.removeGeneration(id);
       this.#settleWaiter(id, "prompt_quarantined");
     }
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -9,6 +9,12 @@
 import * as pools from "./connection_pool.ts";
 import * as splitters from "./event_splitter.ts";
 
+/**
+ * Why a stream is broken: the head of an answer showed it, this process ended it, no connection was
+ * made, or the connection was lost.
+ */
+export type BreakCause = "answer" | "aborted" | "connect_failed" | "connection_lost";
+
 export type UpstreamEnd =
   /** The engine ended the stream normally, after a complete event. */
   | { readonly type: "whole" }
@@ -24,10 +30,7 @@
     readonly type: "broken";
     readonly outcome: core.FailureOutcome;
     readonly reason: string;
-    /** Whether a connection existed, so that the engine may have received the request. */
-    readonly isSent: boolean;
-    /** Whether the engine's side of the connection ended, instead of this process closing it. */
-    readonly isConnectionLost: boolean;
+    readonly cause: BreakCause;
   };
 
 /** Receives the events and the end of an upstream stream. */
@@ -93,8 +96,7 @@
       type: "broken",
       outcome: this.#isSent ? "unknown" : "not_run",
       reason,
-      isSent: this.#isSent,
-      isConnectionLost: false,
+      cause: "aborted",
     });
     this.#exchange?.abort(reason);
   }
@@ -142,7 +144,7 @@
     const fault = this.#fault;
     if (fault !== undefined) {
       const { outcome, reason } = fault;
-      this.#end({ type: "broken", outcome, reason, isSent: true, isConnectionLost: false });
+      this.#end({ type: "broken", outcome, reason, cause: "answer" });
       return fault.outcome === "not_run";
     }
     if (this.#status >= FIRST_NON_SUCCESS_STATUS) {
@@ -158,8 +160,7 @@
         type: "broken",
         outcome: "unknown",
         reason,
-        isSent: true,
-        isConnectionLost: true,
+        cause: "connection_lost",
       });
       return false;
     }
@@ -174,8 +175,7 @@
       type: "broken",
       outcome,
       reason: `${reasonPrefix}: ${error.message}`,
-      isSent: this.#isSent,
-      isConnectionLost: this.#isSent,
+      cause: this.#isSent ? "connection_lost" : "connect_failed",
     });
   }
 
--- a/packages/peers/src/codec.ts
+++ b/packages/peers/src/codec.ts
@@ -208,12 +208,7 @@
     return { process, zone, incarnation, sentAt, isLost, loads };
   });
   const quarantine = wire.quarantine ?? { crashes: [], soundParts: [] };
-  // msgpack has no undefined: the rate of an ended limit arrives as null.
-  const limits = (wire.limits ?? []).map((limit) => ({
-    ...limit,
-    ratePerS: limit.ratePerS ?? undefined,
-  }));
-  return { ...wire, relayed, quarantine, limits };
+  return { ...wire, relayed, quarantine, limits: wire.limits ?? [] };
 }
 
 function encodeEvents(message: messages.CapacityEventsMessage): WireEvents {
--- a/packages/policy/src/prompt_quarantine.ts
+++ b/packages/policy/src/prompt_quarantine.ts
@@ -66,6 +66,7 @@
 const CRASH_RETENTION_MS = 2 * QUARANTINE_MS;
 const MAX_CRASHES = 128;
 const MAX_SUSPECTS_PER_CRASH = 16;
+const MAX_STORED_PARTS = 128;
 /** Two reports of a crash of one instance within this time are about the same crash. */
 const SAME_CRASH_MS = 1_500;
 /** Time for which output clears a part of crashes that follow it. */
@@ -77,7 +78,7 @@
 /** Crashes with their suspects, the parts that are cleared of them, and the conclusions. */
 export class PromptQuarantine {
   #crashes: KnownCrash[] = [];
-  /** Last output by part, in the order of the times; parts of known crashes are in `#cleared`. */
+  /** Last output by part, oldest first, for parts that no suspect of a known crash has. */
   readonly #recentOutput = new Map<core.PromptPartId, number>();
   /** Last output of the parts that suspects of known crashes have. */
   readonly #cleared = new Map<core.PromptPartId, SoundPart>();
@@ -104,7 +105,7 @@
     return undefined;
   }
 
-  /** Records a crash that this process has seen, with those of its own prompts that may be its cause. */
+  /** Records a crash that this process has seen, and which of its prompts may have caused it. */
   recordCrash(
     crash: {
       readonly instance: core.InstanceId;
@@ -143,7 +144,7 @@
     stored: { readonly part: core.PromptPartId; readonly crashCount: number },
     now: number,
   ): QuarantineChanges {
-    if (this.#stored.has(stored.part) || this.#stored.size >= MAX_CRASHES) return NO_CHANGES;
+    if (this.#stored.has(stored.part) || this.#stored.size >= MAX_STORED_PARTS) return NO_CHANGES;
     this.#stored.set(stored.part, { ...stored, learnedAt: now, until: now + QUARANTINE_MS });
     return this.#update(now);
   }
@@ -205,7 +206,7 @@
     return true;
   }
 
-  /** Clears the suspected parts of `crash` by their output before it. */
+  /** Clears parts of the suspects of `crash` that have produced output before. */
   #applyRecentOutput(crash: KnownCrash, now: number): void {
     for (const { parts } of crash.suspects) {
       for (const part of parts) {
