--- a/packages/policy/src/endpoint_limits.ts
+++ b/packages/policy/src/endpoint_limits.ts
@@ -52,7 +52,7 @@
 /** Time after which a limit that no answer has named again is dropped. */
 const LIMIT_RETENTION_MS = 30_000;
 /** Interval at which peers are told that a limit is still named. */
-const REFRESH_INTERVAL_MS = 5_000;
+const REFRESH_INTERVAL_MS = 10_000;
 /** Time for which the end of a limit outweighs late reports of it. */
 const ENDED_RETENTION_MS = 5_000;
 /**
