A planned stop answers the requests that it cannot finish

Callers saw: generations that waited for an engine when their process was stopped ended with a closed connection at the end of the grace period, although they had never been sent to an engine. Cause: the stop waited for open requests and closed their connections when time was up. The end of the process was no deadline to the queue, to calls or to endpoints. Change: planDrain states by when requests are answered; that time is a deadline of every open and later request, so the queue refuses early what cannot end in time. The queue reads the current deadline of a request, which a new configuration lowers too.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -45,10 +45,6 @@
 /** Idle time-out of callers' connections until a configuration is in force. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
-/** The load balancer sends new connections until its second check after SIGTERM. */
-const BALANCER_DETECTION_MS = 2_500;
-/** Part of the grace period reserved for closing the remaining requests before SIGKILL. */
-const EXIT_MARGIN_MS = 500;
 const DRAIN_POLL_INTERVAL_MS = 50;
 
 export class Gateway {
@@ -182,17 +178,24 @@
     this.#options.logger.write("settings_applied", {});
   }
 
-  /** Accepts requests until the load balancer has noticed, finishes open ones, and stops. */
+  /**
+   * Accepts requests until the load balancer has noticed, answers each request in time, refuses
+   * those for which there is not enough time, and stops.
+   */
   async drain(): Promise<void> {
     if (this.#isDraining) return;
     const { clock, logger } = this.#options;
     const startedAt = clock.now();
+    const schedule = policy.planDrain(this.#context.settings.bounds.gracePeriodMs, startedAt);
     this.#isDraining = true;
-    logger.write("draining", { open: this.#requestHandler.openRequestCount });
-    await core.waitFor(BALANCER_DETECTION_MS);
+    logger.write("draining", {
+      open: this.#requestHandler.openRequestCount,
+      waiting: this.#streamForwarder.waitingCount,
+    });
+    this.#requestHandler.applyStop(schedule.answerBy, startedAt);
+    await core.waitFor(schedule.acceptUntil - startedAt);
     this.#frontServer.close();
-    const drainDeadline = startedAt + this.#context.settings.bounds.gracePeriodMs - EXIT_MARGIN_MS;
-    while (this.#requestHandler.openRequestCount > 0 && clock.now() < drainDeadline) {
+    while (this.#requestHandler.openRequestCount > 0 && clock.now() < schedule.closeBy) {
       this.#frontServer.closeIdleConnections();
       await core.waitFor(DRAIN_POLL_INTERVAL_MS);
     }
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -60,6 +60,8 @@
   readonly #options: RequestHandlerOptions;
   readonly #openRequests = new Set<requests.OpenRequest>();
   #bufferedBodyBytes = 0;
+  /** Time by which all requests are answered, since the process then stops. */
+  #stopAt = Infinity;
 
   constructor(options: RequestHandlerOptions) {
     this.#options = options;
@@ -83,6 +85,10 @@
       encodeAnswer: (headers) => context.codec.encodeAnswer(headers),
     });
     this.#openRequests.add(request);
+    request.setCancelHandler((reason) => {
+      if (reason === "timeout") this.#refuse(request, 503, "stopping");
+    });
+    if (this.#stopAt < Infinity) request.updateAnswerBy(this.#stopAt, arrivedAt);
     try {
       await this.#serve(request, incoming);
     } catch (error) {
@@ -114,6 +120,14 @@
     }
   }
 
+  /** Limits the deadlines of open and later requests to `stopAt`, when the process stops. */
+  applyStop(stopAt: number, now: number): void {
+    this.#stopAt = stopAt;
+    for (const request of this.#openRequests) {
+      if (stopAt < request.answerBy) request.updateAnswerBy(stopAt, now);
+    }
+  }
+
   async #serve(request: requests.OpenRequest, incoming: http.IncomingMessage): Promise<void> {
     if (request.id === "") return this.#refuse(request, 400, "no_request_id");
     const limits = this.#options.context.config.inForce?.config.limits;
@@ -131,8 +145,13 @@
     if (routed === undefined || request.end !== undefined) return;
     request.routed = routed;
     const now = this.#options.context.clock.now();
-    request.updateAnswerBy(computeAnswerBy(request, routed.route), now);
+    const answerBy = Math.min(computeAnswerBy(request, routed.route), this.#stopAt);
+    request.updateAnswerBy(answerBy, now);
     if (request.getRemainingMs(now) <= 0) return this.#refuse(request, 503, "deadline_exceeded");
+    const { targetLatencyMs } = routed.route;
+    if (!policy.canAnswerBeforeStop({ answerBy, targetLatencyMs }, this.#stopAt, now)) {
+      return this.#refuse(request, 503, "stopping");
+    }
     if (routed.route.kind === "streaming") {
       await this.#options.streamForwarder.serve(request, routed);
     } else {
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -261,6 +261,9 @@
     workspace: routed.workspace,
     arrivedAt: request.arrivedAt,
     targetBy: request.arrivedAt + routed.route.targetLatencyMs,
-    answerBy: request.answerBy,
+    // A new configuration or a planned stop lowers the deadline of a request that waits.
+    get answerBy() {
+      return request.answerBy;
+    },
   };
 }
--- /dev/null
+++ b/packages/policy/src/drain_schedule.ts
@@ -0,0 +1,40 @@
+/** Plans the stop of a process: how long it accepts connections, answers requests and runs. */
+
+/** Times of a planned stop, in milliseconds on the clock of the signal's time. */
+export interface DrainSchedule {
+  /** Until this time new connections are accepted. */
+  readonly acceptUntil: number;
+  /** By this time each request has its answer, which for a stream includes the last event. */
+  readonly answerBy: number;
+  /** At this time connections are closed, whatever their state. */
+  readonly closeBy: number;
+}
+
+/** The load balancer sends new connections until its second check after the signal. */
+const BALANCER_DETECTION_MS = 2_500;
+/** Part of the grace period reserved for sending the answers that are due at its end. */
+const SEND_MARGIN_MS = 600;
+/** Part of the grace period reserved for the exit of the process. */
+const EXIT_MARGIN_MS = 200;
+
+/** Plans the stop of a process that received its signal at `now`. */
+export function planDrain(gracePeriodMs: number, now: number): DrainSchedule {
+  const answerBy = now + Math.max(0, gracePeriodMs - SEND_MARGIN_MS);
+  return {
+    acceptUntil: Math.min(now + BALANCER_DETECTION_MS, answerBy),
+    answerBy,
+    closeBy: now + Math.max(0, gracePeriodMs - EXIT_MARGIN_MS),
+  };
+}
+
+/**
+ * Whether a request that is due at `answerBy` can be answered in the time that a planned stop
+ * leaves. A request with less time than its route's target would be cut off at an endpoint.
+ */
+export function canAnswerBeforeStop(
+  request: { readonly answerBy: number; readonly targetLatencyMs: number },
+  stopAt: number,
+  now: number,
+): boolean {
+  return request.answerBy < stopAt || stopAt - now >= request.targetLatencyMs;
+}
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -4,6 +4,7 @@
 export * from "./concurrency_limit.ts";
 export * from "./config_register.ts";
 export * from "./crash_attribution.ts";
+export * from "./drain_schedule.ts";
 export * from "./endpoint_limits.ts";
 export * from "./endpoint_table.ts";
 export * from "./engine_placement.ts";
