A stream without length does not end as complete when it is stopped for a move

Cause: while a final copy stops a generation, an orderly end of an answer without length or chunks was taken for the end of the generation; only a broken end was taken for the stop. Change: RunStop holds such an end until the result of the final copy is known, and treats it as a break after a final copy without a known result.

--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -7,12 +7,14 @@
 import type * as core from "@peridotvale/core";
 import type * as policy from "@peridotvale/policy";
 import type * as codec from "./codec.ts";
+import type * as controls from "./engine_control.ts";
 import * as splitters from "./event_splitter.ts";
 import type * as contexts from "./gateway_context.ts";
 import * as requests from "./open_request.ts";
 import * as problems from "./problems.ts";
 import * as promptParts from "./prompt_parts.ts";
 import * as quarantines from "./quarantine_agent.ts";
+import * as stops from "./run_stop.ts";
 import * as upstreams from "./upstream_stream.ts";
 
 /** Failure of a generation before its caller has received anything. */
@@ -42,11 +44,7 @@
   #lastEventAt: number | undefined;
   #isSound = false;
   #isHandingOver = false;
-  /**
-   * Set while the generation is stopped at its engine for a hand-over. The engine's stream then
-   * ends incomplete, which is not a failure of the generation.
-   */
-  #onStoppedUpstreamEnd: (() => void) | undefined;
+  readonly #runStop = new stops.RunStop();
   #resolveRun: (failure: UndeliveredFailure | undefined) => void = () => {};
 
   constructor(context: contexts.GatewayContext, options: {
@@ -124,8 +122,11 @@
   }
 
   onUpstreamEnd(end: upstreams.UpstreamEnd): void {
-    const onStoppedUpstreamEnd = this.#onStoppedUpstreamEnd;
-    if (onStoppedUpstreamEnd !== undefined && end.type === "broken") return onStoppedUpstreamEnd();
+    const endToHandle = this.#runStop.applyEnd(end);
+    if (endToHandle !== undefined) this.#settleUpstreamEnd(endToHandle);
+  }
+
+  #settleUpstreamEnd(end: upstreams.UpstreamEnd): void {
     this.#recordUpstreamEnd(end);
     if (this.request.end !== undefined) return this.#resolveRun(undefined);
     if (end.type === "whole") {
@@ -169,9 +170,7 @@
     source: upstreams.UpstreamStream,
     target: core.EndpointRecord,
   ): Promise<boolean> {
-    const upstreamEnded = new Promise<void>((resolve) => {
-      this.#onStoppedUpstreamEnd = resolve;
-    });
+    const upstreamEnded = this.#runStop.recordCopyStart();
     const finalCopy = await this.#copy(source, target, true);
     const handle = finalCopy.isOk() ? finalCopy.value.handle : finalCopy.error.handle;
     if (handle === undefined) {
@@ -179,7 +178,7 @@
       return this.#resumeAfterFailedCopy(source, target, errorType);
     }
     if (!source.hasEnded) await this.#waitForLastEvents(source, upstreamEnded);
-    this.#onStoppedUpstreamEnd = undefined;
+    this.#runStop.recordStopped();
     this.#context.enginePlacement.recordEnd(source.endpoint.instance, this.request.id);
     if (this.request.end !== undefined) {
       this.#resolveRun(undefined);
@@ -208,18 +207,11 @@
   #resumeAfterFailedCopy(
     source: upstreams.UpstreamStream,
     target: core.EndpointRecord,
-    errorType: string | undefined,
+    errorType: controls.CopyError["type"] | undefined,
   ): boolean {
-    this.#onStoppedUpstreamEnd = undefined;
+    const end = this.#runStop.recordCopyFailure(errorType);
     if (this.request.end !== undefined) source.abort("caller_gone");
-    if (source.hasEnded) {
-      this.onUpstreamEnd({
-        type: "broken",
-        outcome: "unknown",
-        reason: "stopped for a move",
-        cause: "aborted",
-      });
-    }
+    if (end !== undefined) this.#settleUpstreamEnd(end);
     return this.#failMove("copy_failed", target, errorType);
   }
 
@@ -300,7 +292,7 @@
   }
 
   #onCancel(reason: "caller_gone" | "timeout"): void {
-    const isStoppingRun = this.#onStoppedUpstreamEnd !== undefined;
+    const isStoppingRun = this.#runStop.isPending;
     if (reason === "timeout") {
       if (this.request.isHeadSent) {
         this.request.abortStream({ status: 200, reason: "timeout", outcome: "unknown" });
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -17,7 +17,14 @@
 
 export type UpstreamEnd =
   /** The engine ended the stream normally, after a complete event. */
-  | { readonly type: "whole" }
+  | {
+    readonly type: "whole";
+    /**
+     * Whether a length or chunks show that nothing is missing. Otherwise the end of the connection
+     * is the only sign of the end.
+     */
+    readonly isFramed: boolean;
+  }
   /** The engine answered with a status that is not a success. */
   | {
     readonly type: "failed";
@@ -152,7 +159,8 @@
       this.#end({ type: "failed", status: this.#status, headers: this.#headers, body });
       return true;
     }
-    const isUnstarted = !this.#hasDelivered && !pools.hasBodyFraming(this.#headers);
+    const isFramed = pools.hasBodyFraming(this.#headers);
+    const isUnstarted = !this.#hasDelivered && !isFramed;
     if (this.#splitter.pendingBytes > 0 || isUnstarted) {
       // A connection that delimits the answer ends in the same way if the engine crashes.
       const reason = isUnstarted ? "ended without an event" : "ended within an event";
@@ -164,7 +172,7 @@
       });
       return false;
     }
-    this.#end({ type: "whole" });
+    this.#end({ type: "whole", isFramed });
     return true;
   }
 
