A process is told no times that its predecessor's clock stated

Cause: peers remembered a process's last report by its name and returned its send time to the next process of that name, whose clock starts at 0. It dated its confirmation ahead and passed a negative age on to the fleet. Evidence: with the check of the incarnation removed, peer_restart_test fails: the second process is told 60,000 ms. The same holds for the continuity of reports (related path). Change: receipts name the incarnation, LastReports checks it, ConfigRegister ignores confirmations in the future; receipt_rejected is logged.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -14,6 +14,41 @@
 }
 
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "a planned stop refuses generations that cannot end in time",
+    file: "packages/gateway/src/gateway.ts",
+    from: "this.#requestHandler.applyStop(schedule.answerBy, startedAt);",
+    to: "",
+    test: "platform/dist/planned_stop_test.js",
+  },
+  {
+    name: "an unframed stream that is stopped for a move waits for the result of the copy",
+    file: "packages/gateway/src/run_stop.ts",
+    from: '(end.type === "whole" && end.isFramed)',
+    to: 'end.type === "whole"',
+    test: "platform/dist/moved_streams_test.js",
+  },
+  {
+    name: "a process gets no receipts for its predecessor's reports",
+    file: "packages/gateway/src/last_reports.ts",
+    from: "lastReport?.incarnation === peer.incarnation ? lastReport : undefined",
+    to: "lastReport",
+    test: "packages/gateway/dist/peer_restart_test.js",
+  },
+  {
+    name: "a receipt for the report of another process is not used",
+    file: "packages/gateway/src/last_reports.ts",
+    from: "receipt === undefined || receipt.incarnation !== this.#ownIncarnation",
+    to: "receipt === undefined",
+    test: "packages/gateway/dist/peer_restart_test.js",
+  },
+  {
+    name: "a confirmation in the future is ignored",
+    file: "packages/policy/src/config_register.ts",
+    from: "if (answer.ageMs < 0 || answer.sentAt > now) return;",
+    to: "",
+    test: "packages/policy/dist/config_register_test.js",
+  },
   {
     name: "a prompt with a quarantined part is not sent to engines",
     file: "packages/gateway/src/stream_forwarder.ts",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -340,7 +340,7 @@
     this.#storeAgent.applyPeerView(store, reportTiming);
     if (sentAt === undefined) return;
     const release = core.createRelease(store.release);
-    config.applyPeerConfirmation(release, { sentAt, ageMs: store.confirmAgeMs });
+    config.applyPeerConfirmation(release, { sentAt, ageMs: store.confirmAgeMs }, now);
   }
 
   #applyConfig(now: number): void {
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -10,31 +10,16 @@
 import * as peers from "@peridotvale/peers";
 import * as policy from "@peridotvale/policy";
 import * as planners from "./link_planner.ts";
+import * as reports from "./last_reports.ts";
 import * as exchanges from "./load_exchange.ts";
 import type * as types from "./peer_agent_options.ts";
 import * as registries from "./peer_registry.ts";
 import type * as stores from "./routing_store.ts";
 
-/** Contents of a peer's last report that are used later. */
-interface LastReport {
-  readonly zone: core.ZoneName;
-  /** Time, by the peer's clock, at which the peer sent the report. */
-  readonly sentAt: number;
-  /** Lower bound for the time of the peer's last confirmation, by this process's clock. */
-  readonly confirmedAt: number;
-  readonly receivedAt: number;
-  readonly isStoreReachable: boolean;
-}
-
 /** Interval at which links, targets and reports are checked. */
 const TICK_INTERVAL_MS = 100;
 /** Time without a message after which a link is closed and opened again. */
 const SILENT_LINK_TIMEOUT_MS = 2_000;
-/**
- * Interval below which two successive reports miss no change between them, since each report
- * contains the changes of the last 1.5 s.
- */
-const MAX_REPORT_GAP_MS = 1_200;
 /**
  * Shortest interval between requests for a newer configuration. An answer takes one round trip;
  * if it does not arrive, another peer is tried.
@@ -56,8 +41,9 @@
   readonly #schedule = new policy.ReportSchedule();
   readonly #linkPlanner: planners.LinkPlanner;
   readonly #loadExchange: exchanges.LoadExchange;
-  readonly #lastReports = new Map<core.ProcessId, LastReport>();
-  readonly #incarnation: number;
+  readonly #lastReports: reports.LastReports;
+  /** Identifies this process among all that have run under its name. */
+  readonly incarnation: number;
   #timer: NodeJS.Timeout | undefined;
   #urgentTimer: NodeJS.Timeout | undefined;
   #configRequestedAt = -Infinity;
@@ -70,12 +56,13 @@
     this.#linkPlanner = new planners.LinkPlanner({
       self: { process, zone, linkMbps },
       registry: this.#registry,
-      isLinked: (peer) => this.#lastReports.has(peer),
+      isLinked: (peer) => this.#lastReports.hasReport(peer),
       hasTarget: (peer) => this.#mesh.hasTarget(peer),
     });
     const { peerLoads } = options;
     this.#loadExchange = new exchanges.LoadExchange({ process, zone, peerLoads });
-    this.#incarnation = clock.readWallTime();
+    this.incarnation = clock.readWallTime();
+    this.#lastReports = new reports.LastReports(this.incarnation);
     this.#mesh = new peers.PeerMesh({
       ...settings.peers,
       clock,
@@ -84,7 +71,7 @@
         zone: settings.zone,
         address: this.address,
         cores: 1,
-        incarnation: this.#incarnation,
+        incarnation: this.incarnation,
         draining: false,
       }),
       listener: {
@@ -169,13 +156,10 @@
 
   /** Returns the zone and the last contact with the store of each peer that has reported. */
   listStoreContacts(now: number): policy.StoreContact[] {
-    const contacts: policy.StoreContact[] = [];
-    for (const [process, lastReport] of this.#lastReports) {
-      const confirmAgeMs = lastReport.isStoreReachable ? now - lastReport.confirmedAt : Infinity;
-      const linkMbps = this.#registry.getAddress(process)?.linkMbps ?? 0;
-      contacts.push({ process, zone: lastReport.zone, linkMbps, confirmAgeMs });
-    }
-    return contacts;
+    return this.#lastReports.listStoreContacts(
+      (process) => this.#registry.getAddress(process)?.linkMbps ?? 0,
+      now,
+    );
   }
 
   /** Returns all known peers as if each had just reported a contact with the store. */
@@ -188,11 +172,7 @@
    * watches the store for this process.
    */
   hasZonePeerLostStore(): boolean {
-    const { zone } = this.#options.settings;
-    for (const lastReport of this.#lastReports.values()) {
-      if (lastReport.zone === zone && !lastReport.isStoreReachable) return true;
-    }
-    return false;
+    return this.#lastReports.hasLostStore(this.#options.settings.zone);
   }
 
   #runTick(): void {
@@ -262,9 +242,9 @@
     },
   ): void {
     if (link.peer === undefined) return;
-    const answersSentAt = this.#lastReports.get(link.peer.process)?.sentAt;
+    const answers = this.#lastReports.createReceipt(link.peer);
     const { now, relayedPeers, relayed } = options;
-    const timing = { sentAt: now, answersSentAt };
+    const timing = { sentAt: now, answers };
     link.send({ type: "process_report", ...report, ...timing, peers: relayedPeers, relayed });
   }
 
@@ -336,22 +316,15 @@
       ttlMs: this.#linkPlanner.isFullMesh ? policy.REPORT_TTL_MS : policy.RELAYED_REPORT_TTL_MS,
     });
     if (isUrgent && this.isHub) this.#scheduleUrgentReport();
-    const acknowledgedReportSentAt = message.answersSentAt;
-    const confirmAgeMs = message.store?.confirmAgeMs ?? Infinity;
-    const confirmedAt = acknowledgedReportSentAt === undefined
-      ? -Infinity
-      : acknowledgedReportSentAt - confirmAgeMs;
-    const previousReport = this.#lastReports.get(process);
-    this.#lastReports.set(process, {
-      zone,
-      sentAt: message.sentAt,
-      confirmedAt,
-      receivedAt: now,
-      isStoreReachable: message.store?.isReachable ?? false,
-    });
-    const isContinuous = previousReport !== undefined &&
-      now - previousReport.receivedAt < MAX_REPORT_GAP_MS;
-    this.#options.onReport(message, { acknowledgedReportSentAt, isContinuous, now });
+    const timing = this.#lastReports.applyReport(peer, message, now);
+    if (message.answers !== undefined && timing.acknowledgedReportSentAt === undefined) {
+      this.#options.logger.write("receipt_rejected", {
+        peer: process,
+        incarnation: message.answers.incarnation,
+        ahead_ms: Math.round(message.answers.sentAt - now),
+      });
+    }
+    this.#options.onReport(message, timing);
     this.#addPeers(message.peers, false);
     this.#sendConfigRequest(link, message.store?.release ?? 0, now);
   }
@@ -371,7 +344,7 @@
   }
 
   #onLinkLost(process: core.ProcessId): void {
-    this.#lastReports.delete(process);
+    this.#lastReports.dropProcess(process);
     this.#options.logger.write("peer_lost", { peer: process });
     // A process that has lost one of its hubs hears of that hub's loads through the other one.
     if (!this.isHub) return;
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -80,11 +80,8 @@
   readonly notices: readonly policy.LeaveNotice[];
   /** Time of sending, by the sender's clock. */
   readonly sentAt: number;
-  /**
-   * `sentAt` of the last report that the sender got from the receiver, by the receiver's clock;
-   * `undefined` if the sender got none.
-   */
-  readonly answersSentAt: number | undefined;
+  /** The last report that the sender got from the receiver; `undefined` if it got none. */
+  readonly answers: ReportReceipt | undefined;
   /** The sender's view of the store. */
   readonly store: StoreView | undefined;
   /** Processes that the sender discovered recently; on a new link, all that it knows. */
@@ -97,6 +94,14 @@
   readonly relayed: readonly policy.RelayedLoads[];
 }
 
+/** Names a report that has arrived. */
+export interface ReportReceipt {
+  /** Incarnation of the process that sent the report; each process has a clock of its own. */
+  readonly incarnation: number;
+  /** Time of sending, by the clock of that process. */
+  readonly sentAt: number;
+}
+
 /** Identity, zone and address of an entry process. */
 export interface ProcessAddress {
   readonly process: core.ProcessId;
--- a/packages/policy/src/config_register.ts
+++ b/packages/policy/src/config_register.ts
@@ -49,12 +49,15 @@
    * Applies another process's confirmation of `release`. The process reported `ageMs`, the
    * age of its confirmation, in answer to a message sent at `sentAt` by this process's clock. The
    * confirmation therefore dates from `sentAt - ageMs` or later, however late the answer arrives.
+   * A confirmation in the future is invalid and is ignored.
    */
   applyPeerConfirmation(
     release: core.Release,
     answer: { readonly sentAt: number; readonly ageMs: number },
+    now: number,
   ): void {
     if (release !== this.#inForce?.config.release) return;
+    if (answer.ageMs < 0 || answer.sentAt > now) return;
     this.#confirmedAt = Math.max(this.#confirmedAt, answer.sentAt - answer.ageMs);
   }
 
--- a/packages/policy/src/config_register_test.ts
+++ b/packages/policy/src/config_register_test.ts
@@ -55,10 +55,13 @@
   register.adopt(createConfig(3), 0);
   // The message was sent at 5,000 ms, and the peer reported an age of 400 ms. The time at which
   // the answer arrives makes no difference.
-  register.applyPeerConfirmation(core.createRelease(3), { sentAt: 5_000, ageMs: 400 });
+  register.applyPeerConfirmation(core.createRelease(3), { sentAt: 5_000, ageMs: 400 }, 5_100);
   t.equal(register.confirmedAt, 4_600);
-  register.applyPeerConfirmation(core.createRelease(2), { sentAt: 9_000, ageMs: 0 });
-  register.applyPeerConfirmation(core.createRelease(4), { sentAt: 9_000, ageMs: 0 });
+  register.applyPeerConfirmation(core.createRelease(2), { sentAt: 9_000, ageMs: 0 }, 9_000);
+  register.applyPeerConfirmation(core.createRelease(4), { sentAt: 9_000, ageMs: 0 }, 9_000);
   t.equal(register.confirmedAt, 4_600, "a confirmation of another release is ignored");
+  register.applyPeerConfirmation(core.createRelease(3), { sentAt: 9_000, ageMs: -10_000 }, 9_000);
+  register.applyPeerConfirmation(core.createRelease(3), { sentAt: 9_001, ageMs: 0 }, 9_000);
+  t.equal(register.confirmedAt, 4_600, "a confirmation in the future is ignored");
   t.end();
 });
