A planned stop does not cut answers that are still being sent

Consumers saw: a reset in the middle of an answer around SIGTERM, although the server had answered whole; on real processes, with answers larger than the sockets' buffers. Cause: Node takes a connection for idle once the program has ended its answer, also while bytes wait in the process. The stop closed these connections when the listener closed and every 50 ms after, and did not count their requests as open, so that the exit of the process cut them too. Change: FrontServer knows which answers are not sent yet and which requests are being received, closes its side only of idle connections, and open answers announce the end too.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -14,6 +14,20 @@
 }
 
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "a planned stop leaves connections open whose answer is still being sent",
+    file: "packages/gateway/src/front_server.ts",
+    from: "if (connection.openAnswers.size > 0) continue;",
+    to: "",
+    test: "platform/dist/planned_stop_test.js",
+  },
+  {
+    name: "answers that are open at a planned stop announce the end of their connection",
+    file: "packages/gateway/src/front_server.ts",
+    from: 'if (!answer.headersSent) answer.setHeader("Connection", "close");',
+    to: "",
+    test: "platform/dist/planned_stop_test.js",
+  },
   {
     name: "a probe that fails does not end the process",
     file: "packages/core/src/background_task.ts",
--- /dev/null
+++ b/packages/gateway/src/front_server.ts
@@ -0,0 +1,161 @@
+/**
+ * The HTTP server that callers connect to. At a planned stop it closes connections so that no
+ * answer is lost: not before the last byte of an answer has been passed to the operating system,
+ * and not while a request is being received.
+ */
+
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as core from "@peridotvale/core";
+import type * as settingsModule from "./gateway_settings.ts";
+
+export interface FrontServerOptions {
+  readonly clock: core.Clock;
+  readonly onRequest: (request: http.IncomingMessage, response: http.ServerResponse) => void;
+}
+
+/** A caller's connection. */
+interface Connection {
+  /** Answers whose last byte has not been passed to the operating system yet. */
+  readonly openAnswers: Set<http.ServerResponse>;
+  /** Bytes received up to the end of the last answer; further ones belong to the next request. */
+  answeredBytes: number;
+  /** Time since which the connection is idle. */
+  idleSince: number;
+  /** Time at which this side was closed; the caller may still close the other one. */
+  closedAt: number | undefined;
+}
+
+/** Limit that the HTTP parser sets on a request head; the configured limit is checked later. */
+const PARSER_MAX_HEADER_BYTES = 64 * 1024;
+/** Time limit for receiving a complete request; callers time out long before it. */
+const REQUEST_TIMEOUT_MS = 30_000;
+/** Time-outs of callers' connections until a configuration is in force. */
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
+/**
+ * Idle time after which a draining server closes a connection. Many callers send the next request
+ * as soon as they have an answer; it would cross the close.
+ */
+const MIN_IDLE_MS = 500;
+/** Longest wait for the caller to close its side of a connection that this server has closed. */
+const CALLER_CLOSE_TIMEOUT_MS = 500;
+
+/** Accepts callers' connections and hands their requests over. */
+export class FrontServer {
+  readonly #clock: core.Clock;
+  readonly #server: http.Server;
+  readonly #connections = new Map<net.Socket, Connection>();
+  #isDraining = false;
+
+  constructor(options: FrontServerOptions) {
+    this.#clock = options.clock;
+    this.#server = new GracefulServer({
+      maxHeaderSize: PARSER_MAX_HEADER_BYTES,
+      headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
+      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      connectionsCheckingInterval: 1_000,
+    });
+    this.#server.on("connection", (socket: net.Socket) => this.#addConnection(socket));
+    this.#server.on("request", (request, response) => {
+      if (this.#recordRequest(request.socket, response)) options.onRequest(request, response);
+    });
+  }
+
+  /** Number of connections that the server or the caller has not closed. */
+  get connectionCount(): number {
+    return this.#connections.size;
+  }
+
+  listen(address: settingsModule.ListenAddress): Promise<void> {
+    return listenAt(this.#server, address);
+  }
+
+  /** Sets the time-outs of callers' connections. */
+  updateLimits(limits: core.CallerLimits): void {
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  /** From now on answers announce that their connection will be closed. */
+  startDraining(): void {
+    this.#isDraining = true;
+    for (const { openAnswers } of this.#connections.values()) {
+      for (const answer of openAnswers) {
+        if (!answer.headersSent) answer.setHeader("Connection", "close");
+      }
+    }
+  }
+
+  /** Stops listening; open connections remain. */
+  stopAccepting(): void {
+    this.#server.close();
+  }
+
+  /** Closes connections that have been idle for some time. */
+  closeIdleConnections(now: number): void {
+    for (const [socket, connection] of this.#connections) {
+      if (connection.closedAt !== undefined) {
+        if (now - connection.closedAt > CALLER_CLOSE_TIMEOUT_MS) socket.destroy();
+        continue;
+      }
+      if (connection.openAnswers.size > 0) continue;
+      if (socket.bytesRead > connection.answeredBytes) continue;
+      if (now - connection.idleSince < MIN_IDLE_MS) continue;
+      connection.closedAt = now;
+      // Only this side is closed, so that the end arrives after all that was sent before.
+      socket.end();
+    }
+  }
+
+  /** Closes all connections, whatever their state. */
+  closeAllConnections(): void {
+    this.#server.closeAllConnections();
+  }
+
+  #addConnection(socket: net.Socket): void {
+    socket.setNoDelay(true);
+    this.#connections.set(socket, {
+      openAnswers: new Set(),
+      answeredBytes: 0,
+      idleSince: this.#clock.now(),
+      closedAt: undefined,
+    });
+    socket.once("close", () => this.#connections.delete(socket));
+  }
+
+  /** Records a request; returns false if its connection was closed before it arrived. */
+  #recordRequest(socket: net.Socket, response: http.ServerResponse): boolean {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined || connection.closedAt !== undefined) {
+      socket.destroy();
+      return false;
+    }
+    if (this.#isDraining) response.setHeader("Connection", "close");
+    connection.openAnswers.add(response);
+    response.once("close", () => {
+      connection.openAnswers.delete(response);
+      connection.answeredBytes = socket.bytesRead;
+      connection.idleSince = this.#clock.now();
+    });
+    return true;
+  }
+}
+
+/** Unlike its base, leaves connections open whose last answer is still being sent. */
+class GracefulServer extends http.Server {
+  // The base class calls this when the server stops listening.
+  override closeIdleConnections(): void {}
+}
+
+/** Listens at `address`; resolves once the port is bound. */
+export function listenAt(
+  server: http.Server,
+  address: settingsModule.ListenAddress,
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(address.port, address.host, () => resolve());
+  });
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import type * as controls from "./engine_control.ts";
 import type * as contexts from "./gateway_context.ts";
 import * as gauges from "./gateway_metrics.ts";
+import * as fronts from "./front_server.ts";
 import type * as settingsModule from "./gateway_settings.ts";
 import * as handOvers from "./hand_over_agent.ts";
 import * as healthServers from "./health_server.ts";
@@ -38,13 +39,6 @@
 const MIN_PROCESS_COUNT = 8;
 /** Interval between checks for expired instances and evidence. */
 const EXPIRY_CHECK_INTERVAL_MS = 200;
-/** Limit that the HTTP parser sets on a request head; the configured limit is checked later. */
-const PARSER_MAX_HEADER_BYTES = 64 * 1024;
-/** Time limit for receiving a complete request; callers time out long before it. */
-const REQUEST_TIMEOUT_MS = 30_000;
-/** Idle time-out of callers' connections until a configuration is in force. */
-const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
-const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
 const DRAIN_POLL_INTERVAL_MS = 50;
 
 export class Gateway {
@@ -54,7 +48,7 @@
   readonly #requestHandler: handlers.RequestHandler;
   readonly #streamForwarder: streams.StreamForwarder;
   readonly #handOverAgent: handOvers.HandOverAgent;
-  readonly #frontServer: http.Server;
+  readonly #frontServer: fronts.FrontServer;
   readonly #healthServer: http.Server;
   readonly #peerAgent: peerAgents.PeerAgent;
   readonly #leaveWatcher: leaveWatchers.LeaveWatcher;
@@ -140,7 +134,13 @@
       callForwarder: new callForwarders.CallForwarder(this.#context),
       streamForwarder: this.#streamForwarder,
     });
-    this.#frontServer = this.#createFrontServer();
+    this.#frontServer = new fronts.FrontServer({
+      clock: options.clock,
+      onRequest: (request, response) => {
+        const handle = () => this.#requestHandler.handle(request, response);
+        core.startTask("handle_request", handle, options.logger);
+      },
+    });
     this.#healthServer = healthServers.createHealthServer({
       metrics: this.#context.metrics,
       getReadinessPath: () => this.#context.settings.readinessPath,
@@ -161,8 +161,8 @@
     this.#storeAgent.start();
     core.startLoop("announce", () => this.#announcer.run(), logger);
     this.#leaveWatcher.start();
-    await listenAt(this.#healthServer, settings.health);
-    await listenAt(this.#frontServer, settings.front);
+    await fronts.listenAt(this.#healthServer, settings.health);
+    await this.#frontServer.listen(settings.front);
     this.#expiryTimer = setInterval(() => this.#expireEntries(), EXPIRY_CHECK_INTERVAL_MS);
     gauges.registerGauges(this.#context, {
       streamForwarder: this.#streamForwarder,
@@ -192,11 +192,12 @@
       open: this.#requestHandler.openRequestCount,
       waiting: this.#streamForwarder.waitingCount,
     });
+    this.#frontServer.startDraining();
     this.#requestHandler.applyStop(schedule.answerBy, startedAt);
     await core.waitFor(schedule.acceptUntil - startedAt);
-    this.#frontServer.close();
-    while (this.#requestHandler.openRequestCount > 0 && clock.now() < schedule.closeBy) {
-      this.#frontServer.closeIdleConnections();
+    this.#frontServer.stopAccepting();
+    while (this.#frontServer.connectionCount > 0 && clock.now() < schedule.closeBy) {
+      this.#frontServer.closeIdleConnections(clock.now());
       await core.waitFor(DRAIN_POLL_INTERVAL_MS);
     }
     this.#storeAgent.stop();
@@ -204,7 +205,10 @@
     this.#leaveWatcher.stop();
     this.#peerAgent.stop();
     clearInterval(this.#expiryTimer);
-    logger.write("stopped", { given_up: this.#requestHandler.openRequestCount });
+    logger.write("stopped", {
+      given_up: this.#requestHandler.openRequestCount,
+      connections: this.#frontServer.connectionCount,
+    });
     this.#frontServer.closeAllConnections();
     this.#healthServer.close();
     this.#context.pool.destroy();
@@ -288,25 +292,6 @@
     return records.filter((record) => pool.canSend(record.endpoint, connectionLimit));
   }
 
-  #createFrontServer(): http.Server {
-    const front = http.createServer(
-      {
-        maxHeaderSize: PARSER_MAX_HEADER_BYTES,
-        headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
-        keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
-        requestTimeout: REQUEST_TIMEOUT_MS,
-        connectionsCheckingInterval: 1_000,
-      },
-      (request, response) => {
-        if (this.#isDraining) response.setHeader("Connection", "close");
-        const handle = () => this.#requestHandler.handle(request, response);
-        core.startTask("handle_request", handle, this.#options.logger);
-      },
-    );
-    front.on("connection", (socket) => socket.setNoDelay(true));
-    return front;
-  }
-
   #createReport(now: number, scope: peerOptions.ReportScope): peerOptions.OwnReport {
     const { enginePlacement, directory, config, quarantineAgent, limitAgent } = this.#context;
     const release = config.inForce?.config.release;
@@ -346,10 +331,7 @@
 
   #applyConfig(now: number): void {
     const limits = this.#context.config.inForce?.config.limits;
-    if (limits !== undefined) {
-      this.#frontServer.keepAliveTimeout = limits.idleTimeoutMs;
-      this.#frontServer.headersTimeout = limits.headerTimeoutMs;
-    }
+    if (limits !== undefined) this.#frontServer.updateLimits(limits);
     this.#requestHandler.applyConfig(now);
   }
 
@@ -387,13 +369,3 @@
     return budget;
   }
 }
-
-function listenAt(
-  server: http.Server,
-  address: settingsModule.ListenAddress,
-): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(address.port, address.host, () => resolve());
-  });
-}
