A request behind the last answer of a connection does not run

Consumers saw: a request that they sent on a connection that was still open ended without an answer, although a server ran it. Cause: at a planned stop an answer announces the end of its connection, and Node closes it after that answer. A request that arrived on the connection before the close, pipelined or sent in the moments between answer and close, was still forwarded. Likewise, of several pipelined requests that were open at SIGTERM the first answer ended the connection, and the others were lost. Change: FrontServer knows which answer is the last one of a connection; later requests are not handled, and only the last of several open answers ends the connection.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -14,6 +14,13 @@
 }
 
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "a request behind an answer that ends its connection does not run",
+    file: "packages/gateway/src/front_server.ts",
+    from: "if (connection.hasLastAnswer) return false;",
+    to: "",
+    test: "platform/dist/planned_stop_test.js",
+  },
   {
     name: "a planned stop leaves connections open whose answer is still being sent",
     file: "packages/gateway/src/front_server.ts",
@@ -24,7 +31,7 @@
   {
     name: "answers that are open at a planned stop announce the end of their connection",
     file: "packages/gateway/src/front_server.ts",
-    from: 'if (!answer.headersSent) answer.setHeader("Connection", "close");',
+    from: "if (answer !== undefined) closeAfterAnswer(connection, answer);",
     to: "",
     test: "platform/dist/planned_stop_test.js",
   },
@@ -241,15 +248,15 @@
   },
   {
     name: "the configured idle time-out applies to callers' connections",
-    file: "packages/gateway/src/gateway.ts",
-    from: "this.#frontServer.keepAliveTimeout = limits.idleTimeoutMs;",
+    file: "packages/gateway/src/front_server.ts",
+    from: "this.#server.keepAliveTimeout = limits.idleTimeoutMs;",
     to: "",
     test: "platform/dist/limits_test.js",
   },
   {
     name: "the configured time-out for receiving request headers applies",
-    file: "packages/gateway/src/gateway.ts",
-    from: "this.#frontServer.headersTimeout = limits.headerTimeoutMs;",
+    file: "packages/gateway/src/front_server.ts",
+    from: "this.#server.headersTimeout = limits.headerTimeoutMs;",
     to: "",
     test: "platform/dist/limits_test.js",
   },
@@ -312,7 +319,7 @@
   {
     name: "an endpoint that closes its connections while the store is unavailable is probed",
     file: "packages/gateway/src/leave_watcher.ts",
-    from: "void this.#checkHealth(endpoint);",
+    from: 'core.startTask("check_health", () => this.#checkHealth(endpoint), context.logger);',
     to: "",
     test: "platform/dist/config_test.js",
   },
@@ -355,8 +362,8 @@
   {
     name: "a draining process waits for its open requests before it exits",
     file: "packages/gateway/src/gateway.ts",
-    from: "while (this.#requestHandler.openRequestCount > 0 && clock.now() < drainDeadline) {",
-    to: "while (drainDeadline < 0) {",
+    from: "while (this.#frontServer.connectionCount > 0 && clock.now() < schedule.closeBy) {",
+    to: "while (schedule.closeBy < 0) {",
     test: "platform/dist/forwarding_test.js",
   },
 ];
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -18,6 +18,8 @@
 interface Connection {
   /** Answers whose last byte has not been passed to the operating system yet. */
   readonly openAnswers: Set<http.ServerResponse>;
+  /** Whether an answer ends the connection, so that later requests on it get none. */
+  hasLastAnswer: boolean;
   /** Bytes received up to the end of the last answer; further ones belong to the next request. */
   answeredBytes: number;
   /** Time since which the connection is idle. */
@@ -60,6 +62,7 @@
     this.#server.on("connection", (socket: net.Socket) => this.#addConnection(socket));
     this.#server.on("request", (request, response) => {
       if (this.#recordRequest(request.socket, response)) options.onRequest(request, response);
+      else request.resume();
     });
   }
 
@@ -81,10 +84,10 @@
   /** From now on answers announce that their connection will be closed. */
   startDraining(): void {
     this.#isDraining = true;
-    for (const { openAnswers } of this.#connections.values()) {
-      for (const answer of openAnswers) {
-        if (!answer.headersSent) answer.setHeader("Connection", "close");
-      }
+    for (const connection of this.#connections.values()) {
+      // Answers to pipelined requests are sent in order; only the last one ends the connection.
+      const answer = [...connection.openAnswers].at(-1);
+      if (answer !== undefined) closeAfterAnswer(connection, answer);
     }
   }
 
@@ -118,6 +121,7 @@
     socket.setNoDelay(true);
     this.#connections.set(socket, {
       openAnswers: new Set(),
+      hasLastAnswer: false,
       answeredBytes: 0,
       idleSince: this.#clock.now(),
       closedAt: undefined,
@@ -125,14 +129,13 @@
     socket.once("close", () => this.#connections.delete(socket));
   }
 
-  /** Records a request; returns false if its connection was closed before it arrived. */
+  /** Records a request; returns false if its connection ends without an answer to it. */
   #recordRequest(socket: net.Socket, response: http.ServerResponse): boolean {
     const connection = this.#connections.get(socket);
-    if (connection === undefined || connection.closedAt !== undefined) {
-      socket.destroy();
-      return false;
-    }
-    if (this.#isDraining) response.setHeader("Connection", "close");
+    if (connection === undefined || connection.closedAt !== undefined) return false;
+    if (connection.hasLastAnswer) return false;
+    if (this.#isDraining) closeAfterAnswer(connection, response);
+    if (!response.shouldKeepAlive) connection.hasLastAnswer = true;
     connection.openAnswers.add(response);
     response.once("close", () => {
       connection.openAnswers.delete(response);
@@ -143,6 +146,13 @@
   }
 }
 
+/** Closes the connection after `answer`, which announces it, unless its head has been sent. */
+function closeAfterAnswer(connection: Connection, answer: http.ServerResponse): void {
+  if (answer.headersSent) return;
+  answer.setHeader("Connection", "close");
+  connection.hasLastAnswer = true;
+}
+
 /** Unlike its base, leaves connections open whose last answer is still being sent. */
 class GracefulServer extends http.Server {
   // The base class calls this when the server stops listening.
