An order is not sent again after a late copy of a refusal

Cause: an answer without a request id was trusted on a connection that had carried another request; a late second copy of that request's refusal counted as proof that the next order had not run. Evidence: forwarding_test without the check: orders run twice, and are answered 503 after they ran. Change: on a reused connection an answer that names no request has an unknown outcome.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -14,6 +14,13 @@
 }
 
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "an answer without a request id proves nothing on a reused connection",
+    file: "packages/gateway/src/answer_check.ts",
+    from: "head.request === undefined && request.isConnectionReused",
+    to: "head.request === undefined && request.id === undefined",
+    test: "packages/gateway/dist/answer_check_test.js",
+  },
   {
     name: "a request behind an answer that ends its connection does not run",
     file: "packages/gateway/src/front_server.ts",
--- a/packages/gateway/src/answer_check_test.ts
+++ b/packages/gateway/src/answer_check_test.ts
@@ -2,9 +2,9 @@
 import * as tap from "tap";
 import * as answers from "./answer_check.ts";
 
-const REQUEST = core.createId<core.RequestId>("r1");
+const REQUEST = { id: core.createId<core.RequestId>("r1"), isConnectionReused: false };
 const VALID_HEAD = {
-  request: "r1",
+  request: "r1" as string | undefined,
   isRefused: false,
   isMisdirected: false,
   isClosing: false,
@@ -37,3 +37,18 @@
     t.end();
   },
 );
+
+// A late second copy of a refusal was taken for the refusal of an order that ran.
+tap.t.test("an answer without a request id proves nothing on a reused connection", (t) => {
+  const head = { ...VALID_HEAD, request: undefined, isRefused: true };
+  const reused = { ...REQUEST, isConnectionReused: true };
+  t.equal(answers.findAnswerFault(503, head, REQUEST)?.outcome, "not_run");
+  t.equal(answers.findAnswerFault(503, head, reused)?.outcome, "unknown");
+  t.equal(
+    answers.findAnswerFault(421, { ...head, isMisdirected: true }, reused)?.outcome,
+    "unknown",
+  );
+  t.equal(answers.findAnswerFault(500, { ...head, isRefused: false }, reused)?.outcome, "unknown");
+  t.equal(answers.findAnswerFault(503, { ...head, request: "r1" }, reused)?.outcome, "not_run");
+  t.end();
+});
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -242,6 +242,7 @@
   };
   #exchange: pools.Exchange | undefined;
   #isSent = false;
+  #isConnectionReused = false;
   #hasEnded = false;
   #answerStatus = 0;
   #answerHeaders: codec.RawHeaders = [];
@@ -276,17 +277,18 @@
     this.#exchange?.abort(reason);
   }
 
-  onSent(): void {
+  onSent(isReused: boolean): void {
     this.#isSent = true;
+    this.#isConnectionReused = isReused;
   }
 
   onHead(status: number, headers: codec.RawHeaders): void {
     this.#answerStatus = status;
     this.#answerHeaders = headers;
-    const { codec, request, onLimit } = this.#options;
+    const { codec, onLimit } = this.#options;
     const head = codec.decodeAnswer(status, headers);
     this.#answerHead = head;
-    const fault = answers.findAnswerFault(status, head, request.id);
+    const fault = this.#findFault();
     if (fault?.outcome !== "unknown") onLimit(head.rateLimitPerS);
   }
 
@@ -297,8 +299,7 @@
   }
 
   onEnd(): boolean {
-    const head = this.#answerHead;
-    const fault = answers.findAnswerFault(this.#answerStatus, head, this.#options.request.id);
+    const fault = this.#findFault();
     if (fault !== undefined) {
       this.#fail(fault.outcome, fault.outcome === "not_run" ? "refused" : "failed", fault.reason);
       return fault.outcome === "not_run";
@@ -321,6 +322,13 @@
     this.#fail("not_run", "unreachable", `not_sent: ${message}`);
   }
 
+  #findFault(): answers.AnswerFault | undefined {
+    return answers.findAnswerFault(this.#answerStatus, this.#answerHead, {
+      id: this.#options.request.id,
+      isConnectionReused: this.#isConnectionReused,
+    });
+  }
+
   #fail(outcome: core.FailureOutcome, report: policy.AttemptReport, reason: string): void {
     this.#end({ type: "no_answer", outcome, report, reason });
   }
--- a/packages/gateway/src/connection_pool.ts
+++ b/packages/gateway/src/connection_pool.ts
@@ -10,8 +10,11 @@
 
 /** Receives the events of one request and its answer. */
 export interface ExchangeListener {
-  /** Called before the first byte is sent; from then on the endpoint may run the request. */
-  onSent(): void;
+  /**
+   * Called before the first byte is sent; from then on the endpoint may run the request.
+   * `isReused` states whether the connection has carried another request before.
+   */
+  onSent(isReused: boolean): void;
   onHead(status: number, headers: readonly string[]): void;
   onData(chunk: Buffer): void;
   /** Called when the answer is complete. Returns whether the connection may be reused. */
@@ -55,6 +58,7 @@
   readonly #onClose: (connection: EndpointConnection) => void;
   /** Whether the connection was reset or had an error, instead of closing normally. */
   #isBroken = false;
+  #hasCarriedRequest = false;
   isClosed = false;
 
   constructor(endpoint: core.EndpointId, onClose: (connection: EndpointConnection) => void) {
@@ -75,6 +79,8 @@
     let controller: undici.Dispatcher.DispatchController | undefined;
     let abortReason: string | undefined;
     let isUnframed = false;
+    const isReused = this.#hasCarriedRequest;
+    this.#hasCarriedRequest = true;
     this.#client.dispatch(
       {
         path: request.path,
@@ -86,7 +92,7 @@
         onRequestStart(dispatchController) {
           controller = dispatchController;
           if (abortReason !== undefined) return dispatchController.abort(new Error(abortReason));
-          listener.onSent();
+          listener.onSent(isReused);
         },
         onResponseStart: (dispatchController, status) => {
           controller = dispatchController;
@@ -182,7 +188,7 @@
   ): Exchange {
     const connection = this.#takeIdle(endpoint) ?? this.#openConnection(endpoint);
     return connection.send(request, {
-      onSent: () => listener.onSent(),
+      onSent: (isReused) => listener.onSent(isReused),
       onHead: (status, headers) => listener.onHead(status, headers),
       onData: (chunk) => listener.onData(chunk),
       onEnd: () => {
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -67,6 +67,7 @@
   #exchange: pools.Exchange | undefined;
   #hasDelivered: boolean;
   #isSent = false;
+  #isConnectionReused = false;
   #hasEnded = false;
   #fault: answers.AnswerFault | undefined;
   #status = 0;
@@ -116,15 +117,19 @@
     this.#exchange?.resume();
   }
 
-  onSent(): void {
+  onSent(isReused: boolean): void {
     this.#isSent = true;
+    this.#isConnectionReused = isReused;
   }
 
   onHead(status: number, headers: codec.RawHeaders): void {
     const head = this.#codec.decodeAnswer(status, headers);
     this.#status = status;
     this.#headers = headers;
-    this.#fault = answers.findAnswerFault(status, head, this.#request);
+    this.#fault = answers.findAnswerFault(status, head, {
+      id: this.#request,
+      isConnectionReused: this.#isConnectionReused,
+    });
     if (this.#fault?.outcome !== "unknown") this.#listener.onLimit(head.rateLimitPerS);
     if (this.#fault?.outcome === "unknown") return this.abort(this.#fault.reason);
     if (this.#hasEnded || this.#fault !== undefined || status >= FIRST_NON_SUCCESS_STATUS) return;
