A failure after the head of an answer breaks the stream off

Cause: the failure took the path that writes a head. The request was marked as ended and its timer cleared before the second head failed. Evidence: moved_streams_test hangs without the change; with it the stream ends at once. Change: OpenRequest breaks off a stream whose head is out, whatever answer or problem is sent.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -14,6 +14,13 @@
 }
 
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "a failure after the head of an answer breaks the stream off",
+    file: "packages/gateway/src/open_request.ts",
+    from: "outcome: problem.outcome };\n    if (this.isHeadSent) return this.#breakOff(end);",
+    to: "outcome: problem.outcome };",
+    test: "platform/dist/moved_streams_test.js",
+  },
   {
     name: "an answer without a request id proves nothing on a reused connection",
     file: "packages/gateway/src/answer_check.ts",
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -294,14 +294,10 @@
   #onCancel(reason: "caller_gone" | "timeout"): void {
     const isStoppingRun = this.#runStop.isPending;
     if (reason === "timeout") {
-      if (this.request.isHeadSent) {
-        this.request.abortStream({ status: 200, reason: "timeout", outcome: "unknown" });
-      } else {
-        this.request.sendProblem(problems.createRequestProblem(504, "timeout", {
-          outcome: "unknown",
-          detail: "the generation did not start in time",
-        }));
-      }
+      this.request.sendProblem(problems.createRequestProblem(504, "timeout", {
+        outcome: "unknown",
+        detail: "the generation did not start in time",
+      }));
     }
     if (!isStoppingRun) this.#upstream.abort(reason);
   }
@@ -310,15 +306,8 @@
     if (problems.isNotRunStatus(end.status)) {
       return this.#resolveRun({ outcome: "unknown", reason: `status_${end.status}` });
     }
-    if (this.request.isHeadSent) {
-      this.request.abortStream({ status: 200, reason: "engine_failed", outcome: "failed" });
-    } else {
-      this.request.sendAnswer(end, {
-        status: end.status,
-        reason: "answered",
-        outcome: "failed",
-      });
-    }
+    const reason = this.request.isHeadSent ? "engine_failed" : "answered";
+    this.request.sendAnswer(end, { status: end.status, reason, outcome: "failed" });
     this.#resolveRun(undefined);
   }
 
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -103,11 +103,15 @@
     this.#cancelHandler = handler;
   }
 
-  /** Sends an endpoint's complete answer to the caller, unless the request has ended. */
+  /**
+   * Sends an endpoint's complete answer to the caller, unless the request has ended. A stream that
+   * has started is broken off instead.
+   */
   sendAnswer(
     answer: { readonly status: number; readonly headers: codec.RawHeaders; readonly body: Buffer },
     end: RequestEnd,
   ): void {
+    if (this.isHeadSent) return this.#breakOff(end);
     if (!this.#finish(end)) return;
     const headers = this.#encodeAnswer(answer.headers).concat(
       "Content-Length",
@@ -147,9 +151,13 @@
     if (this.#finish(end)) this.#response.destroy();
   }
 
-  /** Sends one of the gateway's own errors to the caller, unless the request has ended. */
+  /**
+   * Sends one of the gateway's own errors to the caller, unless the request has ended. A stream that
+   * has started is broken off instead.
+   */
   sendProblem(problem: core.RequestProblem): void {
     const end = { status: problem.status, reason: problem.code, outcome: problem.outcome };
+    if (this.isHeadSent) return this.#breakOff(end);
     if (!this.#finish(end)) return;
     const body = core.formatProblemBody(problem, this.id);
     const headers: Record<string, string> = {
@@ -164,6 +172,11 @@
     this.#response.end(body);
   }
 
+  /** Breaks off the stream whose failure is `end`; its head has stated the status 200. */
+  #breakOff(end: RequestEnd): void {
+    this.abortStream({ ...end, status: 200, outcome: "unknown" });
+  }
+
   #onResponseClose(): void {
     if (this.end !== undefined) return;
     this.isCallerGone = true;
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -285,9 +285,6 @@
   }
 
   #answerInternalError(request: requests.OpenRequest): void {
-    if (request.isHeadSent) {
-      return request.abortStream({ status: 200, reason: "internal_error", outcome: "unknown" });
-    }
     request.sendProblem(problems.createRequestProblem(502, "internal_error", {
       outcome: "unknown",
       detail: "an internal error; the request may have run",
