A call without a caller ends at its deadline

Operators saw: a server that did not answer calls whose callers had left was refused to all other callers, since the calls held all connections to it. Cause: the departure of the caller cleared the deadline's timer, but a non-idempotent call goes on. Evidence: stuck_calls_test without the change: the server's connections stay open past the deadline, and a later call gets 503. Change: the timer runs until the call has ended.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -14,6 +14,13 @@
 }
 
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "a call without a caller ends at its deadline",
+    file: "packages/gateway/src/open_request.ts",
+    from: "// A call that goes on without its caller still ends at its deadline.",
+    to: "clearTimeout(this.#deadlineTimer);",
+    test: "platform/dist/stuck_calls_test.js",
+  },
   {
     name: "a failure after the head of an answer breaks the stream off",
     file: "packages/gateway/src/open_request.ts",
@@ -228,7 +235,7 @@
   {
     name: "an answer that carries the id of another request is rejected",
     file: "packages/gateway/src/answer_check.ts",
-    from: "if (head.request !== undefined && head.request !== request) {",
+    from: "if (head.request !== undefined && head.request !== request.id) {",
     to: 'if (head.request === "none") {',
     test: "packages/gateway/dist/answer_check_test.js",
   },
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -101,6 +101,7 @@
   /** Sets the function that cancels the current wait or attempt of the request. */
   setCancelHandler(handler: ((reason: "caller_gone" | "timeout") => void) | undefined): void {
     this.#cancelHandler = handler;
+    if (handler === undefined && this.end !== undefined) clearTimeout(this.#deadlineTimer);
   }
 
   /**
@@ -181,7 +182,7 @@
     if (this.end !== undefined) return;
     this.isCallerGone = true;
     this.end = { status: 0, reason: "caller_gone", outcome: "unknown" };
-    clearTimeout(this.#deadlineTimer);
+    // A call that goes on without its caller still ends at its deadline.
     this.#cancelHandler?.("caller_gone");
   }
 
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -98,6 +98,7 @@
       });
       this.#answerInternalError(request);
     } finally {
+      request.setCancelHandler(undefined);
       this.#openRequests.delete(request);
       this.#bufferedBodyBytes -= request.body?.length ?? 0;
       this.#recordEnd(request);
