--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -24,7 +24,7 @@
   {
     name: "a failure after the head of an answer breaks the stream off",
     file: "packages/gateway/src/open_request.ts",
-    from: "outcome: problem.outcome };\n    if (this.isHeadSent) return this.#breakOff(end);",
+    from: "outcome: problem.outcome };\n    if (this.isHeadSent) return this.#abortStarted(end);",
     to: "outcome: problem.outcome };",
     test: "platform/dist/moved_streams_test.js",
   },
@@ -383,7 +383,7 @@
   {
     name: "a draining process waits for its open requests before it exits",
     file: "packages/gateway/src/gateway.ts",
-    from: "while (this.#frontServer.connectionCount > 0 && clock.now() < schedule.closeBy) {",
+    from: "while (hasWork() && clock.now() < schedule.closeBy) {",
     to: "while (schedule.closeBy < 0) {",
     test: "platform/dist/forwarding_test.js",
   },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -196,7 +196,10 @@
     this.#requestHandler.applyStop(schedule.answerBy, startedAt);
     await core.waitFor(schedule.acceptUntil - startedAt);
     this.#frontServer.stopAccepting();
-    while (this.#frontServer.connectionCount > 0 && clock.now() < schedule.closeBy) {
+    // A call whose caller has left is open without a connection.
+    const hasWork = () =>
+      this.#frontServer.connectionCount > 0 || this.#requestHandler.openRequestCount > 0;
+    while (hasWork() && clock.now() < schedule.closeBy) {
       this.#frontServer.closeIdleConnections(clock.now());
       await core.waitFor(DRAIN_POLL_INTERVAL_MS);
     }
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -112,7 +112,7 @@
     answer: { readonly status: number; readonly headers: codec.RawHeaders; readonly body: Buffer },
     end: RequestEnd,
   ): void {
-    if (this.isHeadSent) return this.#breakOff(end);
+    if (this.isHeadSent) return this.#abortStarted(end);
     if (!this.#finish(end)) return;
     const headers = this.#encodeAnswer(answer.headers).concat(
       "Content-Length",
@@ -158,7 +158,7 @@
    */
   sendProblem(problem: core.RequestProblem): void {
     const end = { status: problem.status, reason: problem.code, outcome: problem.outcome };
-    if (this.isHeadSent) return this.#breakOff(end);
+    if (this.isHeadSent) return this.#abortStarted(end);
     if (!this.#finish(end)) return;
     const body = core.formatProblemBody(problem, this.id);
     const headers: Record<string, string> = {
@@ -174,7 +174,7 @@
   }
 
   /** Breaks off the stream whose failure is `end`; its head has stated the status 200. */
-  #breakOff(end: RequestEnd): void {
+  #abortStarted(end: RequestEnd): void {
     this.abortStream({ ...end, status: 200, outcome: "unknown" });
   }
 
