The entry process's stop does not cut answers that are still being sent

Callers saw, in server_test: 4,157,770 of 16,000,000 bytes of an answer that they read slowly, when the entry process stopped. Cause: as at the gateway, connections were closed as idle whose answer the program had ended, and the stop waited for open requests only. Change: the callers' server counts answers that are being sent and leaves their connections open; the stop waits for them within its deadline.

--- a/packages/callers/src/server.ts
+++ b/packages/callers/src/server.ts
@@ -3,7 +3,8 @@
  * checks and metrics. Converts HTTP requests into calls of a {@linkcode handler.RequestHandler}.
  */
 
-import type * as http from "node:http";
+import * as http from "node:http";
+import type * as net from "node:net";
 import * as crypto from "node:crypto";
 import * as core from "@peridotvale/core";
 import * as nodeServer from "@hono/node-server";
@@ -30,6 +31,8 @@
 export interface CallerServer {
   /** Bound address, as `host:port`. */
   readonly address: string;
+  /** Number of answers whose last byte has not been passed to the operating system. */
+  readonly openAnswerCount: number;
   /** Stops accepting connections. Open responses continue until `destroy` is called. */
   close(): void;
   /** Closes all connections immediately, including those with open responses. */
@@ -73,29 +76,44 @@
 ): Promise<CallerServer> {
   const app = createApp(requestHandler, options);
   return new Promise((resolve, reject) => {
-    const server = nodeServer.serve({
-      fetch: app.fetch,
-      hostname: options.host,
-      port: options.port,
-      serverOptions: {
-        maxHeaderSize: options.maxHeaderBytes,
-        keepAliveTimeout: 60_000,
-      },
-    }, (info) => {
-      resolve(
-        createServerHandle(server as http.Server, `${options.host}:${info.port}`),
-      );
+    const server = new GracefulServer({
+      maxHeaderSize: options.maxHeaderBytes,
+      keepAliveTimeout: 60_000,
+    });
+    server.on("request", nodeServer.getRequestListener(app.fetch));
+    server.listen(options.port, options.host, () => {
+      const { port } = server.address() as net.AddressInfo;
+      resolve(createServerHandle(server, `${options.host}:${port}`));
     });
     server.once("error", reject);
   });
 }
 
-function createServerHandle(server: http.Server, address: string): CallerServer {
+/** Counts answers that are still being sent, and leaves their connections open when it closes. */
+class GracefulServer extends http.Server {
+  openAnswerCount = 0;
+
+  constructor(options: http.ServerOptions) {
+    super(options);
+    this.on("request", (_request, response) => {
+      this.openAnswerCount += 1;
+      response.once("close", () => this.openAnswerCount -= 1);
+    });
+  }
+
+  // The base class calls this when the server stops listening. It takes a connection for idle when
+  // the program has ended the answer, also while its bytes wait in the process.
+  override closeIdleConnections(): void {}
+}
+
+function createServerHandle(server: GracefulServer, address: string): CallerServer {
   return {
     address,
+    get openAnswerCount() {
+      return server.openAnswerCount;
+    },
     close() {
       server.close();
-      server.closeIdleConnections();
     },
     destroy() {
       server.closeAllConnections();
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -345,6 +345,9 @@
     await core.waitFor(DRAIN_POLL_INTERVAL_MS);
   }
   callerServer.close();
+  while (callerServer.openAnswerCount > 0 && runtime.clock.now() < deadlineAt) {
+    await core.waitFor(DRAIN_POLL_INTERVAL_MS);
+  }
   await core.waitFor(DRAIN_POLL_INTERVAL_MS);
   runtime.logger.write("drain_ended", { open: front.openRequestCount });
   stop();
