A stream without length whose engine has exited is incomplete

Cause: an engine that exits closes its connections in order, which is also how a stream without a length ends. Change: the end of such a stream counts only if the engine still accepts connections.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -14,6 +14,13 @@
 }
 
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "an unframed stream whose engine has exited is broken",
+    file: "packages/gateway/src/generation_relay.ts",
+    from: 'this.#settleUpstreamEnd(state === "refused" ? EXITED_END : end);',
+    to: "this.#settleUpstreamEnd(end);",
+    test: "platform/dist/moved_streams_test.js",
+  },
   {
     name: "a call without a caller ends at its deadline",
     file: "packages/gateway/src/open_request.ts",
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -4,9 +4,10 @@
  * continues after the last event that the caller has received.
  */
 
-import type * as core from "@peridotvale/core";
+import * as core from "@peridotvale/core";
 import type * as policy from "@peridotvale/policy";
 import type * as codec from "./codec.ts";
+import * as probes from "./connect_probe.ts";
 import type * as controls from "./engine_control.ts";
 import * as splitters from "./event_splitter.ts";
 import type * as contexts from "./gateway_context.ts";
@@ -27,6 +28,14 @@
 const LAST_EVENTS_TIMEOUT_MS = 150;
 /** Time-out of one memory copy. A leaving engine stops earlier, about 2 s after its notice. */
 const COPY_TIMEOUT_MS = 4_000;
+/** Time-out of the connection that shows whether an engine still runs. */
+const END_CHECK_TIMEOUT_MS = 500;
+const EXITED_END: upstreams.UpstreamEnd = {
+  type: "broken",
+  outcome: "unknown",
+  reason: "engine exited",
+  cause: "connection_lost",
+};
 
 /** Relays one generation, from the first request to an engine to the end of the stream. */
 export class GenerationRelay implements upstreams.UpstreamListener {
@@ -123,7 +132,21 @@
 
   onUpstreamEnd(end: upstreams.UpstreamEnd): void {
     const endToHandle = this.#runStop.applyEnd(end);
-    if (endToHandle !== undefined) this.#settleUpstreamEnd(endToHandle);
+    if (endToHandle === undefined) return;
+    if (endToHandle.type !== "whole" || endToHandle.isFramed) {
+      return this.#settleUpstreamEnd(endToHandle);
+    }
+    const { logger } = this.#context;
+    core.startTask("check_end", () => this.#checkUnframedEnd(endToHandle), logger);
+  }
+
+  /**
+   * Handles the end of a stream that only the end of its connection shows. An engine that exits
+   * closes its connections too, and then accepts no further ones.
+   */
+  async #checkUnframedEnd(end: upstreams.UpstreamEnd): Promise<void> {
+    const state = await probes.checkListener(this.endpoint.endpoint, END_CHECK_TIMEOUT_MS);
+    this.#settleUpstreamEnd(state === "refused" ? EXITED_END : end);
   }
 
   #settleUpstreamEnd(end: upstreams.UpstreamEnd): void {
