Logs name the connection of each failed attempt and the memory of each hand-over

Change: send_ended states address, connection and the number of requests it had carried; hand_over states the handle. Connections have ids.

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -23,6 +23,8 @@
 export type EndpointId = Branded<string, "EndpointId">;
 /** Identifies an entry process; unchanged when the process restarts at the same address. */
 export type ProcessId = Branded<string, "ProcessId">;
+/** Identifies a connection to an endpoint within this process. */
+export type ConnectionId = Branded<string, "ConnectionId">;
 /** Identifies, within its endpoint, the generation of one sequence of tokens. */
 export type GenerationId = Branded<string, "GenerationId">;
 /** Identifies a section of a prompt that other prompts may share. */
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -30,6 +30,8 @@
     readonly outcome: core.FailureOutcome;
     readonly report: policy.AttemptReport;
     readonly reason: string;
+    /** The connection that the request was sent on; undefined if it was not sent. */
+    readonly connectionUse: pools.ConnectionUse | undefined;
   };
 
 /** Summary of a request's attempts so far. */
@@ -78,9 +80,8 @@
       if (request.end !== undefined) return;
       if (result.type === "answer") return this.#relay(request, routed, result.answer);
       this.#recordResult(history, result);
-      const { instance } = endpoint;
-      const { outcome, reason } = result;
-      const attempt = { ...history, instance, outcome, reason };
+      const { outcome, reason, connectionUse } = result;
+      const attempt = { ...history, endpoint, outcome, reason, connectionUse };
       if (!retries.decideRetry(this.#context, request, { routed, attempt })) break;
     }
     this.#answerFailure(request, routed, history);
@@ -145,7 +146,8 @@
               this.#context.directory.recordMisdirected(endpoint.instance, now),
             );
           }
-          resolve(this.#convertServerError(routed, history, result));
+          const { connectionUse } = call;
+          resolve(this.#convertServerError(routed, history, { result, connectionUse }));
         },
       });
       const timer = Number.isFinite(attemptTimeoutMs)
@@ -179,8 +181,12 @@
   #convertServerError(
     routed: requests.RoutedRequest,
     history: AttemptHistory,
-    result: AttemptResult,
+    ended: {
+      readonly result: AttemptResult;
+      readonly connectionUse: pools.ConnectionUse | undefined;
+    },
   ): AttemptResult {
+    const { result, connectionUse } = ended;
     if (result.type !== "answer" || routed.route.kind !== "idempotent") return result;
     if (result.answer.status < SERVER_ERROR_STATUS) return result;
     history.errorAnswer = result.answer;
@@ -189,6 +195,7 @@
       outcome: "failed",
       report: "failed",
       reason: `status_${result.answer.status}`,
+      connectionUse,
     };
   }
 
@@ -241,8 +248,7 @@
     readonly onEnd: (result: AttemptResult) => void;
   };
   #exchange: pools.Exchange | undefined;
-  #isSent = false;
-  #isConnectionReused = false;
+  #connectionUse: pools.ConnectionUse | undefined;
   #hasEnded = false;
   #answerStatus = 0;
   #answerHeaders: codec.RawHeaders = [];
@@ -259,6 +265,11 @@
     this.#options = options;
   }
 
+  /** The connection that the request was sent on; undefined if it was not sent. */
+  get connectionUse(): pools.ConnectionUse | undefined {
+    return this.#connectionUse;
+  }
+
   start(exchange: pools.Exchange): void {
     this.#exchange = exchange;
     if (this.#hasEnded) exchange.abort("ended");
@@ -268,18 +279,12 @@
   abort(reason: "silent" | "timeout" | "caller_gone"): void {
     if (this.#hasEnded) return;
     const report = reason === "caller_gone" ? "refused" as const : "silent" as const;
-    this.#end({
-      type: "no_answer",
-      outcome: this.#isSent ? "unknown" : "not_run",
-      report,
-      reason,
-    });
+    this.#fail(this.#connectionUse === undefined ? "not_run" : "unknown", report, reason);
     this.#exchange?.abort(reason);
   }
 
-  onSent(isReused: boolean): void {
-    this.#isSent = true;
-    this.#isConnectionReused = isReused;
+  onSent(use: pools.ConnectionUse): void {
+    this.#connectionUse = use;
   }
 
   onHead(status: number, headers: codec.RawHeaders): void {
@@ -318,19 +323,22 @@
 
   onError(error: Error): void {
     const { message } = error;
-    if (this.#isSent) return this.#fail("unknown", "failed", `broken: ${message}`);
+    if (this.#connectionUse !== undefined) {
+      return this.#fail("unknown", "failed", `broken: ${message}`);
+    }
     this.#fail("not_run", "unreachable", `not_sent: ${message}`);
   }
 
   #findFault(): answers.AnswerFault | undefined {
     return answers.findAnswerFault(this.#answerStatus, this.#answerHead, {
       id: this.#options.request.id,
-      isConnectionReused: this.#isConnectionReused,
+      isConnectionReused: (this.#connectionUse?.carriedRequests ?? 0) > 0,
     });
   }
 
   #fail(outcome: core.FailureOutcome, report: policy.AttemptReport, reason: string): void {
-    this.#end({ type: "no_answer", outcome, report, reason });
+    const connectionUse = this.#connectionUse;
+    this.#end({ type: "no_answer", outcome, report, reason, connectionUse });
   }
 
   #end(result: AttemptResult): void {
--- a/packages/gateway/src/connection_pool.ts
+++ b/packages/gateway/src/connection_pool.ts
@@ -5,16 +5,23 @@
  */
 
 import * as net from "node:net";
-import type * as core from "@peridotvale/core";
+import * as core from "@peridotvale/core";
 import * as undici from "undici";
 
+/** The connection that carries a request. */
+export interface ConnectionUse {
+  readonly connection: core.ConnectionId;
+  /** Number of requests that the connection has carried before. */
+  readonly carriedRequests: number;
+}
+
 /** Receives the events of one request and its answer. */
 export interface ExchangeListener {
   /**
-   * Called before the first byte is sent; from then on the endpoint may run the request.
-   * `isReused` states whether the connection has carried another request before.
+   * Called before the first byte is sent on the connection `use`; from then on the endpoint may run
+   * the request.
    */
-  onSent(isReused: boolean): void;
+  onSent(use: ConnectionUse): void;
   onHead(status: number, headers: readonly string[]): void;
   onData(chunk: Buffer): void;
   /** Called when the answer is complete. Returns whether the connection may be reused. */
@@ -54,15 +61,21 @@
 
 class EndpointConnection {
   readonly endpoint: core.EndpointId;
+  readonly id: core.ConnectionId;
   readonly #client: undici.Client;
   readonly #onClose: (connection: EndpointConnection) => void;
   /** Whether the connection was reset or had an error, instead of closing normally. */
   #isBroken = false;
-  #hasCarriedRequest = false;
+  #carriedRequests = 0;
   isClosed = false;
 
-  constructor(endpoint: core.EndpointId, onClose: (connection: EndpointConnection) => void) {
+  constructor(
+    endpoint: core.EndpointId,
+    id: core.ConnectionId,
+    onClose: (connection: EndpointConnection) => void,
+  ) {
     this.endpoint = endpoint;
+    this.id = id;
     this.#client = new undici.Client(`http://${endpoint}`, {
       connect: (options, callback) => this.#connect(options, callback),
       pipelining: 1,
@@ -79,8 +92,8 @@
     let controller: undici.Dispatcher.DispatchController | undefined;
     let abortReason: string | undefined;
     let isUnframed = false;
-    const isReused = this.#hasCarriedRequest;
-    this.#hasCarriedRequest = true;
+    const use = { connection: this.id, carriedRequests: this.#carriedRequests };
+    this.#carriedRequests += 1;
     this.#client.dispatch(
       {
         path: request.path,
@@ -92,7 +105,7 @@
         onRequestStart(dispatchController) {
           controller = dispatchController;
           if (abortReason !== undefined) return dispatchController.abort(new Error(abortReason));
-          listener.onSent(isReused);
+          listener.onSent(use);
         },
         onResponseStart: (dispatchController, status) => {
           controller = dispatchController;
@@ -188,7 +201,7 @@
   ): Exchange {
     const connection = this.#takeIdle(endpoint) ?? this.#openConnection(endpoint);
     return connection.send(request, {
-      onSent: (isReused) => listener.onSent(isReused),
+      onSent: (use) => listener.onSent(use),
       onHead: (status, headers) => listener.onHead(status, headers),
       onData: (chunk) => listener.onData(chunk),
       onEnd: () => {
@@ -234,7 +247,8 @@
   #openConnection(endpoint: core.EndpointId): EndpointConnection {
     this.openedCount += 1;
     this.#connectionCounts.set(endpoint, (this.#connectionCounts.get(endpoint) ?? 0) + 1);
-    return new EndpointConnection(endpoint, (closed) => this.#removeConnection(closed));
+    const id = core.createId<core.ConnectionId>(`${this.openedCount}`);
+    return new EndpointConnection(endpoint, id, (closed) => this.#removeConnection(closed));
   }
 
   #keepIdle(connection: EndpointConnection): void {
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -8,6 +8,7 @@
 import type * as policy from "@peridotvale/policy";
 import type * as codec from "./codec.ts";
 import * as probes from "./connect_probe.ts";
+import type * as pools from "./connection_pool.ts";
 import type * as controls from "./engine_control.ts";
 import * as splitters from "./event_splitter.ts";
 import type * as contexts from "./gateway_context.ts";
@@ -22,6 +23,8 @@
 export interface UndeliveredFailure {
   readonly outcome: core.FailureOutcome;
   readonly reason: string;
+  /** The connection that the request was sent on; undefined if it was not sent. */
+  readonly connectionUse: pools.ConnectionUse | undefined;
 }
 
 /** Longest wait for the remaining events of a generation that was stopped for a hand-over. */
@@ -37,7 +40,7 @@
   cause: "connection_lost",
 };
 
-/** Relays one generation, from the first request to an engine to the end of the stream. */
+/** Relays one generation, from the first request to an engine to the end of its stream. */
 export class GenerationRelay implements upstreams.UpstreamListener {
   readonly request: requests.OpenRequest;
   readonly routed: requests.RoutedRequest;
@@ -114,17 +117,14 @@
 
   onEvents(events: readonly splitters.StreamEvent[]): void {
     const now = this.#context.clock.now();
-    const undeliveredEvents = events.filter((event) =>
-      splitters.isUndelivered(event, this.#lastEventId)
-    );
+    const lastEventId = this.#lastEventId;
+    const undeliveredEvents = events.filter((event) => splitters.isUndelivered(event, lastEventId));
     if (undeliveredEvents.length === 0 || this.request.end !== undefined) return;
     this.#deliveredEventCount += undeliveredEvents.length;
     this.#lastEventId = undeliveredEvents.at(-1)?.id ?? this.#lastEventId;
     this.#recordProgress(undeliveredEvents.length, now);
-    const bytes = undeliveredEvents.length === 1
-      ? undeliveredEvents[0]!.bytes
-      : Buffer.concat(undeliveredEvents.map((event) => event.bytes));
-    if (this.request.writeEvents(bytes)) return;
+    const bytes = undeliveredEvents.map((event) => event.bytes);
+    if (this.request.writeEvents(bytes.length === 1 ? bytes[0]! : Buffer.concat(bytes))) return;
     const upstream = this.#upstream;
     upstream.pause();
     this.request.onDrained(() => upstream.resume());
@@ -159,9 +159,7 @@
     }
     if (end.type === "failed") return this.#answerEngineFailure(end);
     if (end.outcome === "unknown") this.#recordBreak(end);
-    if (!this.request.isHeadSent) {
-      return this.#resolveRun({ outcome: end.outcome, reason: end.reason });
-    }
+    if (!this.request.isHeadSent) return this.#failUndelivered(end.outcome, end.reason);
     this.request.abortStream({ status: 200, reason: end.reason, outcome: "unknown" });
     this.#resolveRun(undefined);
   }
@@ -195,7 +193,7 @@
   ): Promise<boolean> {
     const upstreamEnded = this.#runStop.recordCopyStart();
     const finalCopy = await this.#copy(source, target, true);
-    const handle = finalCopy.isOk() ? finalCopy.value.handle : finalCopy.error.handle;
+    const { handle } = finalCopy.isOk() ? finalCopy.value : finalCopy.error;
     if (handle === undefined) {
       const errorType = finalCopy.isErr() ? finalCopy.error.type : undefined;
       return this.#resumeAfterFailedCopy(source, target, errorType);
@@ -219,7 +217,7 @@
       handle,
       lastEventId: this.#lastEventId,
     });
-    this.#recordMove(finalCopy.isOk() ? "moved" : "continued_at_source", target, undefined);
+    this.#recordMove(finalCopy.isOk() ? "moved" : "continued_at_source", target, { handle });
     return finalCopy.isOk();
   }
 
@@ -265,16 +263,21 @@
     if (this.endpoint.instance !== target.instance) {
       this.#context.enginePlacement.recordEnd(target.instance, this.request.id);
     }
-    this.#recordMove(outcome, target, errorType);
+    this.#recordMove(outcome, target, { errorType });
     return false;
   }
 
-  #recordMove(outcome: string, target: core.EndpointRecord, errorType: string | undefined): void {
+  #recordMove(
+    outcome: string,
+    target: core.EndpointRecord,
+    detail: { readonly errorType?: string | undefined; readonly handle?: string },
+  ): void {
     this.#context.metrics.recordRetry(`hand_over_${outcome}`);
     this.#context.logger.write("hand_over", {
       request: this.request.id,
       outcome,
-      error: errorType,
+      error: detail.errorType,
+      memory: detail.handle,
       target: target.instance,
       events: this.#deliveredEventCount,
     });
@@ -327,13 +330,17 @@
 
   #answerEngineFailure(end: upstreams.UpstreamEnd & { readonly type: "failed" }): void {
     if (problems.isNotRunStatus(end.status)) {
-      return this.#resolveRun({ outcome: "unknown", reason: `status_${end.status}` });
+      return this.#failUndelivered("unknown", `status_${end.status}`);
     }
     const reason = this.request.isHeadSent ? "engine_failed" : "answered";
     this.request.sendAnswer(end, { status: end.status, reason, outcome: "failed" });
     this.#resolveRun(undefined);
   }
 
+  #failUndelivered(outcome: core.FailureOutcome, reason: string): void {
+    this.#resolveRun({ outcome, reason, connectionUse: this.#upstream.connectionUse });
+  }
+
   #recordUpstreamEnd(end: upstreams.UpstreamEnd): void {
     const { instance } = this.endpoint;
     const now = this.#context.clock.now();
--- a/packages/gateway/src/retry_decision.ts
+++ b/packages/gateway/src/retry_decision.ts
@@ -6,14 +6,17 @@
 
 import type * as core from "@peridotvale/core";
 import * as policy from "@peridotvale/policy";
+import type * as pools from "./connection_pool.ts";
 import type * as contexts from "./gateway_context.ts";
 import type * as requests from "./open_request.ts";
 
 /** The last failed attempt of a request, with the counts of the request's attempts so far. */
 export interface FailedAttempt {
-  readonly instance: core.InstanceId;
+  readonly endpoint: core.EndpointRecord;
   readonly outcome: core.FailureOutcome;
   readonly reason: string;
+  /** The connection that the request was sent on; undefined if it was not sent. */
+  readonly connectionUse: pools.ConnectionUse | undefined;
   /** Number of attempts that may have run, including this one. */
   readonly ranAttempts: number;
   /** Number of attempts that have not run, including this one. */
@@ -40,7 +43,10 @@
     context.getRetryBudget(routed.service).takeRetry(now, context.getProcessCount());
   context.logger.write("send_ended", {
     request: request.id,
-    instance: attempt.instance,
+    instance: attempt.endpoint.instance,
+    address: attempt.endpoint.endpoint,
+    connection: attempt.connectionUse?.connection,
+    carried: attempt.connectionUse?.carriedRequests,
     outcome: attempt.outcome,
     reason: attempt.reason,
     next: retryDecision.type === "stop"
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -84,8 +84,7 @@
       if (failure.outcome !== "not_run") return this.#answerFailure(request, failure);
       refusedAttempts += 1;
       triedInstances.add(endpoint.instance);
-      const { instance } = endpoint;
-      const attempt = { ...failure, instance, ranAttempts: 0, refusedAttempts };
+      const attempt = { ...failure, endpoint, ranAttempts: 0, refusedAttempts };
       if (!retries.decideRetry(context, request, { routed, attempt })) {
         return this.#refuse(request, failure.reason);
       }
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -66,8 +66,7 @@
   readonly #failureChunks: Buffer[] = [];
   #exchange: pools.Exchange | undefined;
   #hasDelivered: boolean;
-  #isSent = false;
-  #isConnectionReused = false;
+  #connectionUse: pools.ConnectionUse | undefined;
   #hasEnded = false;
   #fault: answers.AnswerFault | undefined;
   #status = 0;
@@ -92,6 +91,11 @@
     return this.#hasEnded;
   }
 
+  /** The connection that the request was sent on; undefined if it was not sent. */
+  get connectionUse(): pools.ConnectionUse | undefined {
+    return this.#connectionUse;
+  }
+
   start(exchange: pools.Exchange): void {
     this.#exchange = exchange;
     if (this.#hasEnded) exchange.abort("ended");
@@ -102,7 +106,7 @@
     if (this.#hasEnded) return;
     this.#end({
       type: "broken",
-      outcome: this.#isSent ? "unknown" : "not_run",
+      outcome: this.#connectionUse === undefined ? "not_run" : "unknown",
       reason,
       cause: "aborted",
     });
@@ -117,9 +121,8 @@
     this.#exchange?.resume();
   }
 
-  onSent(isReused: boolean): void {
-    this.#isSent = true;
-    this.#isConnectionReused = isReused;
+  onSent(use: pools.ConnectionUse): void {
+    this.#connectionUse = use;
   }
 
   onHead(status: number, headers: codec.RawHeaders): void {
@@ -128,7 +131,7 @@
     this.#headers = headers;
     this.#fault = answers.findAnswerFault(status, head, {
       id: this.#request,
-      isConnectionReused: this.#isConnectionReused,
+      isConnectionReused: (this.#connectionUse?.carriedRequests ?? 0) > 0,
     });
     if (this.#fault?.outcome !== "unknown") this.#listener.onLimit(head.rateLimitPerS);
     if (this.#fault?.outcome === "unknown") return this.abort(this.#fault.reason);
@@ -182,13 +185,14 @@
   }
 
   onError(error: Error): void {
-    const outcome = this.#isSent ? "unknown" as const : "not_run" as const;
-    const reasonPrefix = this.#isSent ? "broken" : "not_sent";
+    const isSent = this.#connectionUse !== undefined;
+    const outcome = isSent ? "unknown" as const : "not_run" as const;
+    const reasonPrefix = isSent ? "broken" : "not_sent";
     this.#end({
       type: "broken",
       outcome,
       reason: `${reasonPrefix}: ${error.message}`,
-      cause: this.#isSent ? "connection_lost" : "connect_failed",
+      cause: isSent ? "connection_lost" : "connect_failed",
     });
   }
 
