A request goes on a connection at most once

Callers saw: an order or generation ran at two servers some milliseconds apart, or was answered 503 though it had run. Cause: an answer names its request, but not the attempt. After a refusal the next attempt may go to the same address: the server has restarted and its old entry is still listed. The pool took the connection of the refused attempt, and a late second copy of the refusal was taken for the refusal of an attempt that had begun to run. The same evidence marked the sound instance as misdirected. Change: a request remembers the connections that have carried it, and the pool gives it another one. What arrives on a connection then belongs to the only attempt on it or to another request, whose id differs. Calls, generations and resumed generations share the path.

--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -165,12 +165,8 @@
         urgency: undefined,
         memory: undefined,
       });
-      call.start(this.#context.pool.send(endpoint.endpoint, {
-        method: request.method,
-        path: request.path,
-        headers,
-        body: request.body,
-      }, call));
+      const wireRequest = request.createWireRequest(headers);
+      call.start(this.#context.pool.send(endpoint.endpoint, wireRequest, call));
     });
   }
 
@@ -285,6 +281,7 @@
 
   onSent(use: pools.ConnectionUse): void {
     this.#connectionUse = use;
+    this.#options.request.usedConnections.add(use.connection);
   }
 
   onHead(status: number, headers: codec.RawHeaders): void {
--- a/packages/gateway/src/connection_pool.ts
+++ b/packages/gateway/src/connection_pool.ts
@@ -37,6 +37,11 @@
   /** Alternating header names and values. */
   readonly headers: string[];
   readonly body: Buffer | undefined;
+  /**
+   * Connections that have carried the request before and must not carry it again: a late copy of
+   * an answer to that attempt names the request too.
+   */
+  readonly avoidedConnections: ReadonlySet<core.ConnectionId>;
 }
 
 /** Controls a request and its answer: aborts them, or pauses the delivery of the answer. */
@@ -199,7 +204,8 @@
     request: WireRequest,
     listener: ExchangeListener,
   ): Exchange {
-    const connection = this.#takeIdle(endpoint) ?? this.#openConnection(endpoint);
+    const connection = this.#takeIdle(endpoint, request.avoidedConnections) ??
+      this.#openConnection(endpoint);
     return connection.send(request, {
       onSent: (use) => listener.onSent(use),
       onHead: (status, headers) => listener.onHead(status, headers),
@@ -232,16 +238,17 @@
     for (const endpoint of [...this.#idleConnections.keys()]) this.closeIdle(endpoint);
   }
 
-  #takeIdle(endpoint: core.EndpointId): EndpointConnection | undefined {
-    const idleConnections = this.#idleConnections.get(endpoint);
-    while (idleConnections !== undefined && idleConnections.length > 0) {
-      const connection = idleConnections.shift();
-      if (connection === undefined || connection.isClosed) continue;
-      if (idleConnections.length === 0) this.#idleConnections.delete(endpoint);
-      return connection;
-    }
-    this.#idleConnections.delete(endpoint);
-    return undefined;
+  #takeIdle(
+    endpoint: core.EndpointId,
+    avoidedConnections: ReadonlySet<core.ConnectionId>,
+  ): EndpointConnection | undefined {
+    const idleConnections = (this.#idleConnections.get(endpoint) ?? [])
+      .filter((connection) => !connection.isClosed);
+    const index = idleConnections.findIndex(({ id }) => !avoidedConnections.has(id));
+    const [connection] = index < 0 ? [] : idleConnections.splice(index, 1);
+    if (idleConnections.length === 0) this.#idleConnections.delete(endpoint);
+    else this.#idleConnections.set(endpoint, idleConnections);
+    return connection;
   }
 
   #openConnection(endpoint: core.EndpointId): EndpointConnection {
--- a/packages/gateway/src/connection_pool_test.ts
+++ b/packages/gateway/src/connection_pool_test.ts
@@ -30,6 +30,8 @@
   return core.createId<core.EndpointId>(`127.0.0.1:${port}`);
 }
 
+const NO_CONNECTIONS: ReadonlySet<core.ConnectionId> = new Set();
+
 type Tap = { teardown(callback: () => unknown): void };
 
 /** Blocks the event loop, so that the answer and the connection's end are read in one poll. */
@@ -41,7 +43,13 @@
 function sendOnce(endpoint: core.EndpointId, path: string): Promise<string> {
   const pool = new pools.ConnectionPool();
   return new Promise((resolve) => {
-    pool.send(endpoint, { method: "GET", path, headers: [], body: undefined }, {
+    pool.send(endpoint, {
+      method: "GET",
+      path,
+      headers: [],
+      body: undefined,
+      avoidedConnections: NO_CONNECTIONS,
+    }, {
       onSent: () => void setTimeout(() => blockLoop(100), 0),
       onHead: () => {},
       onData: () => {},
@@ -79,7 +87,13 @@
       t.equal(pool.canSend(endpoint, 3), true);
       requestEnds.push(
         new Promise((resolve) => {
-          pool.send(endpoint, { method: "GET", path: "/end", headers: [], body: undefined }, {
+          pool.send(endpoint, {
+            method: "GET",
+            path: "/end",
+            headers: [],
+            body: undefined,
+            avoidedConnections: NO_CONNECTIONS,
+          }, {
             onSent: () => {},
             onHead: () => {},
             onData: () => {},
@@ -103,7 +117,13 @@
   const pool = new pools.ConnectionPool();
   const unreachable = core.createId<core.EndpointId>("127.0.0.1:1");
   const error = await new Promise<Error>((resolve) => {
-    pool.send(unreachable, { method: "GET", path: "/", headers: [], body: undefined }, {
+    pool.send(unreachable, {
+      method: "GET",
+      path: "/",
+      headers: [],
+      body: undefined,
+      avoidedConnections: NO_CONNECTIONS,
+    }, {
       onSent: () => t.fail("a request was sent on a connection that was never established"),
       onHead: () => {},
       onData: () => {},
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -286,7 +286,7 @@
   #createUpstream(endpoint: core.EndpointRecord): upstreams.UpstreamStream {
     return new upstreams.UpstreamStream({
       endpoint,
-      request: this.request.id,
+      request: this.request,
       codec: this.#context.codec,
       hasDelivered: this.#deliveredEventCount > 0,
       listener: this,
@@ -309,12 +309,8 @@
       urgency: this.routed.rank,
       memory,
     });
-    upstream.start(this.#context.pool.send(endpoint.endpoint, {
-      method: this.request.method,
-      path: this.request.path,
-      headers,
-      body: this.request.body,
-    }, upstream));
+    const wireRequest = this.request.createWireRequest(headers);
+    upstream.start(this.#context.pool.send(endpoint.endpoint, wireRequest, upstream));
   }
 
   #onCancel(reason: "caller_gone" | "timeout"): void {
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -7,6 +7,7 @@
 import type * as http from "node:http";
 import * as core from "@peridotvale/core";
 import type * as codec from "./codec.ts";
+import type * as pools from "./connection_pool.ts";
 
 /** Route of a request, the service chosen from it and the workspace that sent the request. */
 export interface RoutedRequest {
@@ -42,6 +43,8 @@
   end: RequestEnd | undefined;
   /** Instance that the request was last sent to. */
   instance: core.InstanceId | undefined;
+  /** Connections to endpoints that have carried the request. */
+  readonly usedConnections = new Set<core.ConnectionId>();
   /** Whether the caller closed its connection before the answer was complete. */
   isCallerGone = false;
   readonly #response: http.ServerResponse;
@@ -79,6 +82,17 @@
     return Math.max(1, Math.round(this.getRemainingMs(now) - ANSWER_MARGIN_MS));
   }
 
+  /** Creates the request to send to an endpoint, with the headers encoded for it. */
+  createWireRequest(headers: string[]): pools.WireRequest {
+    return {
+      method: this.method,
+      path: this.path,
+      headers,
+      body: this.body,
+      avoidedConnections: this.usedConnections,
+    };
+  }
+
   /** Whether the head of an answer has been sent to the caller. */
   get isHeadSent(): boolean {
     return this.#response.headersSent;
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -8,6 +8,7 @@
 import type * as codec from "./codec.ts";
 import * as pools from "./connection_pool.ts";
 import * as splitters from "./event_splitter.ts";
+import type * as requests from "./open_request.ts";
 
 /**
  * Why a stream is broken: the head of an answer showed it, this process ended it, no connection was
@@ -59,7 +60,7 @@
 /** Receives one engine's answer to a generation and splits it into events. */
 export class UpstreamStream implements pools.ExchangeListener {
   readonly endpoint: core.EndpointRecord;
-  readonly #request: core.RequestId;
+  readonly #request: requests.OpenRequest;
   readonly #codec: codec.HeaderCodec;
   readonly #listener: UpstreamListener;
   readonly #splitter = new splitters.EventSplitter();
@@ -74,7 +75,7 @@
 
   constructor(options: {
     readonly endpoint: core.EndpointRecord;
-    readonly request: core.RequestId;
+    readonly request: requests.OpenRequest;
     readonly codec: codec.HeaderCodec;
     /** Whether the generation has delivered events from another engine before. */
     readonly hasDelivered: boolean;
@@ -123,6 +124,7 @@
 
   onSent(use: pools.ConnectionUse): void {
     this.#connectionUse = use;
+    this.#request.usedConnections.add(use.connection);
   }
 
   onHead(status: number, headers: codec.RawHeaders): void {
@@ -130,7 +132,7 @@
     this.#status = status;
     this.#headers = headers;
     this.#fault = answers.findAnswerFault(status, head, {
-      id: this.#request,
+      id: this.#request.id,
       isConnectionReused: (this.#connectionUse?.carriedRequests ?? 0) > 0,
     });
     if (this.#fault?.outcome !== "unknown") this.#listener.onLimit(head.rateLimitPerS);
