A planned stop starts no generation once other processes take all new connections

Cause: a request was refused during a stop only if its target for the first event did not fit; how long a generation lasts is not known. Change: after the time by which the load balancer has noticed the stop, a generation that is not due before the end of the stop is refused with 503 at once; its caller returns to another process.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -193,7 +193,7 @@
       waiting: this.#streamForwarder.waitingCount,
     });
     this.#frontServer.startDraining();
-    this.#requestHandler.applyStop(schedule.answerBy, startedAt);
+    this.#requestHandler.applyStop(schedule, startedAt);
     await core.waitFor(schedule.acceptUntil - startedAt);
     this.#frontServer.stopAccepting();
     // A call whose caller has left is open without a connection.
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -60,8 +60,7 @@
   readonly #options: RequestHandlerOptions;
   readonly #openRequests = new Set<requests.OpenRequest>();
   #bufferedBodyBytes = 0;
-  /** Time by which all requests are answered, since the process then stops. */
-  #stopAt = Infinity;
+  #stop: policy.DrainSchedule = policy.NO_STOP;
 
   constructor(options: RequestHandlerOptions) {
     this.#options = options;
@@ -88,7 +87,7 @@
     request.setCancelHandler((reason) => {
       if (reason === "timeout") this.#refuse(request, 503, "stopping");
     });
-    if (this.#stopAt < Infinity) request.updateAnswerBy(this.#stopAt, arrivedAt);
+    if (this.#stop !== policy.NO_STOP) request.updateAnswerBy(this.#stop.answerBy, arrivedAt);
     try {
       await this.#serve(request, incoming);
     } catch (error) {
@@ -121,11 +120,11 @@
     }
   }
 
-  /** Limits the deadlines of open and later requests to `stopAt`, when the process stops. */
-  applyStop(stopAt: number, now: number): void {
-    this.#stopAt = stopAt;
+  /** Limits the deadlines of open and later requests to those of a planned stop. */
+  applyStop(stop: policy.DrainSchedule, now: number): void {
+    this.#stop = stop;
     for (const request of this.#openRequests) {
-      if (stopAt < request.answerBy) request.updateAnswerBy(stopAt, now);
+      if (stop.answerBy < request.answerBy) request.updateAnswerBy(stop.answerBy, now);
     }
   }
 
@@ -146,14 +145,16 @@
     if (routed === undefined || request.end !== undefined) return;
     request.routed = routed;
     const now = this.#options.context.clock.now();
-    const answerBy = Math.min(computeAnswerBy(request, routed.route), this.#stopAt);
+    const answerBy = Math.min(computeAnswerBy(request, routed.route), this.#stop.answerBy);
     request.updateAnswerBy(answerBy, now);
     if (request.getRemainingMs(now) <= 0) return this.#refuse(request, 503, "deadline_exceeded");
-    const { targetLatencyMs } = routed.route;
-    if (!policy.canAnswerBeforeStop({ answerBy, targetLatencyMs }, this.#stopAt, now)) {
+    const { targetLatencyMs, kind } = routed.route;
+    const isGeneration = kind === "streaming";
+    const pending = { answerBy, targetLatencyMs, isGeneration };
+    if (!policy.canAnswerBeforeStop(pending, this.#stop, now)) {
       return this.#refuse(request, 503, "stopping");
     }
-    if (routed.route.kind === "streaming") {
+    if (isGeneration) {
       await this.#options.streamForwarder.serve(request, routed);
     } else {
       await this.#options.callForwarder.serve(request, routed);
--- a/packages/policy/src/drain_schedule.ts
+++ b/packages/policy/src/drain_schedule.ts
@@ -10,6 +10,13 @@
   readonly closeBy: number;
 }
 
+/** Schedule of a process that is not being stopped. */
+export const NO_STOP: DrainSchedule = {
+  acceptUntil: Infinity,
+  answerBy: Infinity,
+  closeBy: Infinity,
+};
+
 /** The load balancer sends new connections until its second check after the signal. */
 const BALANCER_DETECTION_MS = 2_500;
 /** Part of the grace period reserved for sending the answers that are due at its end. */
@@ -29,12 +36,20 @@
 
 /**
  * Whether a request that is due at `answerBy` can be answered in the time that a planned stop
- * leaves. A request with less time than its route's target would be cut off at an endpoint.
+ * leaves. A request with less time than its route's target would be cut off at an endpoint. A
+ * generation may last any time, so that none is started once other processes take all new
+ * connections.
  */
 export function canAnswerBeforeStop(
-  request: { readonly answerBy: number; readonly targetLatencyMs: number },
-  stopAt: number,
+  request: {
+    readonly answerBy: number;
+    readonly targetLatencyMs: number;
+    readonly isGeneration: boolean;
+  },
+  stop: DrainSchedule,
   now: number,
 ): boolean {
-  return request.answerBy < stopAt || stopAt - now >= request.targetLatencyMs;
+  if (request.answerBy < stop.answerBy) return true;
+  if (request.isGeneration && now >= stop.acceptUntil) return false;
+  return stop.answerBy - now >= request.targetLatencyMs;
 }
--- a/packages/policy/src/drain_schedule_test.ts
+++ b/packages/policy/src/drain_schedule_test.ts
@@ -13,11 +13,23 @@
 
 tap.t.test("a request whose target lies after the stop is not accepted any more", (t) => {
   const stopAt = 8_000;
-  const request = { answerBy: stopAt, targetLatencyMs: 300 };
-  t.ok(schedules.canAnswerBeforeStop(request, stopAt, 7_700));
-  t.notOk(schedules.canAnswerBeforeStop(request, stopAt, 7_701));
+  const stop = { acceptUntil: 2_500, answerBy: stopAt, closeBy: 8_500 };
+  const request = { answerBy: stopAt, targetLatencyMs: 300, isGeneration: false };
+  t.ok(schedules.canAnswerBeforeStop(request, stop, 7_700));
+  t.notOk(schedules.canAnswerBeforeStop(request, stop, 7_701));
   // The caller's own deadline is earlier than the stop.
-  t.ok(schedules.canAnswerBeforeStop({ ...request, answerBy: 7_900 }, stopAt, 7_800));
-  t.ok(schedules.canAnswerBeforeStop({ ...request, answerBy: 9e9 }, Infinity, 7_800));
+  t.ok(schedules.canAnswerBeforeStop({ ...request, answerBy: 7_900 }, stop, 7_800));
+  t.ok(schedules.canAnswerBeforeStop({ ...request, answerBy: 9e9 }, schedules.NO_STOP, 7_800));
+  t.end();
+});
+
+// Generations sent seconds after the signal were cut off at their engine at the end of the stop.
+tap.t.test("no generation starts once the load balancer has noticed the stop", (t) => {
+  const stop = { acceptUntil: 2_500, answerBy: 7_400, closeBy: 7_800 };
+  const request = { answerBy: stop.answerBy, targetLatencyMs: 300, isGeneration: true };
+  t.ok(schedules.canAnswerBeforeStop(request, stop, 2_499));
+  t.notOk(schedules.canAnswerBeforeStop(request, stop, 2_500));
+  // Its caller gives it up before the stop ends.
+  t.ok(schedules.canAnswerBeforeStop({ ...request, answerBy: 7_000 }, stop, 3_000));
   t.end();
 });
