A request that cannot be read does not answer the one before it

Callers saw: 408 or 400 in place of the answer to an order that was running. 408 promises that the order has not run and never will (REFUSED); its caller may send it again. Cause: on the time-out of a head, or on bytes that are no request, Node's server writes a status of its own at once, also while an earlier request of the connection is at work. Change: the connection then closes after the answer to the earlier request; without one, the statuses are those of Node.

--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -20,6 +20,8 @@
   readonly openAnswers: Set<http.ServerResponse>;
   /** Whether an answer ends the connection, so that later requests on it get none. */
   hasLastAnswer: boolean;
+  /** Whether bytes arrived that cannot be read as a request. */
+  hasFailed: boolean;
   /** Bytes received up to the end of the last answer; further ones belong to the next request. */
   answeredBytes: number;
   /** Time since which the connection is idle. */
@@ -42,6 +44,12 @@
 const MIN_IDLE_MS = 500;
 /** Longest wait for the caller to close its side of a connection that this server has closed. */
 const CALLER_CLOSE_TIMEOUT_MS = 500;
+/** Statuses of requests that cannot be read, by the error's code; 400 for all others. */
+const STATUS_BY_ERROR = new Map([
+  ["HPE_HEADER_OVERFLOW", 431],
+  ["HPE_CHUNK_EXTENSIONS_OVERFLOW", 413],
+  ["ERR_HTTP_REQUEST_TIMEOUT", 408],
+]);
 
 /** Accepts callers' connections and hands their requests over. */
 export class FrontServer {
@@ -64,6 +72,10 @@
       if (this.#recordRequest(request.socket, response)) options.onRequest(request, response);
       else request.resume();
     });
+    this.#server.on(
+      "clientError",
+      (error: NodeJS.ErrnoException, socket: net.Socket) => this.#handleClientError(error, socket),
+    );
   }
 
   /** Number of connections that the server or the caller has not closed. */
@@ -122,6 +134,7 @@
     this.#connections.set(socket, {
       openAnswers: new Set(),
       hasLastAnswer: false,
+      hasFailed: false,
       answeredBytes: 0,
       idleSince: this.#clock.now(),
       closedAt: undefined,
@@ -129,6 +142,29 @@
     socket.once("close", () => this.#connections.delete(socket));
   }
 
+  /**
+   * Answers a request that cannot be read or is not complete in time, and closes its connection.
+   * While an earlier request is at work, its caller would take that answer for its own, and 408
+   * promises that it does not run; the connection then closes after the answer to the earlier one.
+   */
+  #handleClientError(error: NodeJS.ErrnoException, socket: net.Socket): void {
+    const connection = this.#connections.get(socket);
+    const openAnswer = [...connection?.openAnswers ?? []].findLast(({ req }) => req.complete);
+    if (connection !== undefined && openAnswer !== undefined && socket.writable) {
+      if (connection.hasFailed) return;
+      connection.hasFailed = true;
+      connection.hasLastAnswer = true;
+      closeAfterAnswer(connection, openAnswer);
+      openAnswer.once("finish", () => socket.destroySoon());
+      return;
+    }
+    const isHeadSent = [...connection?.openAnswers ?? []].some(({ headersSent }) => headersSent);
+    if (!socket.writable || isHeadSent) return void socket.destroy();
+    const status = STATUS_BY_ERROR.get(error.code ?? "") ?? 400;
+    socket.write(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+    socket.destroySoon();
+  }
+
   /** Records a request; returns false if its connection ends without an answer to it. */
   #recordRequest(socket: net.Socket, response: http.ServerResponse): boolean {
     const connection = this.#connections.get(socket);
