Starts of generations by the entry process have a connection of their own

Callers would see: a generation that is started at two engines. A late second copy of a refusal counted as the refusal of a later generation, which the engine had started. Change: only calls that read share connections.

--- a/packages/engines/src/http_engine_client.ts
+++ b/packages/engines/src/http_engine_client.ts
@@ -42,13 +42,19 @@
 /** {@linkcode client.EngineClient} over HTTP. */
 export class HttpEngineClient implements client.EngineClient {
   readonly #options: HttpEngineClientOptions;
+  /** For calls that only read, and may be repeated. */
+  readonly #readAgent: undici.Agent;
+  /**
+   * For all other calls. Refusals name no attempt, so each call has a connection of its own: on a
+   * kept one, a late copy of a refusal would be taken for the answer to a later call.
+   */
   readonly #agent: undici.Agent;
 
   constructor(options: HttpEngineClientOptions) {
     this.#options = options;
-    this.#agent = new undici.Agent({
-      connect: { timeout: options.connectTimeoutMs },
-    });
+    const connect = { timeout: options.connectTimeoutMs };
+    this.#readAgent = new undici.Agent({ connect });
+    this.#agent = new undici.Agent({ connect, pipelining: 0 });
   }
 
   startGeneration(
@@ -209,7 +215,7 @@
         method: call.method,
         body: call.body ?? null,
         headers: { "content-type": "application/json" },
-        dispatcher: this.#agent,
+        dispatcher: call.method === "GET" ? this.#readAgent : this.#agent,
         signal: AbortSignal.timeout(this.#options.answerTimeoutMs),
       });
       if (response.statusCode !== 200) {
