--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -14,6 +14,41 @@
 }
 
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "a request goes on a connection at most once",
+    file: "packages/gateway/src/connection_pool.ts",
+    from: "!avoidedConnections.has(id)",
+    to: "id !== undefined",
+    test: "platform/dist/run_once_test.js",
+  },
+  {
+    name: "a request that cannot be read does not answer the one before it",
+    file: "packages/gateway/src/front_server.ts",
+    from: "openAnswer !== undefined && socket.writable",
+    to: "openAnswer !== undefined && socket.destroyed",
+    test: "platform/dist/run_once_test.js",
+  },
+  {
+    name: "control calls to engines have a connection of their own",
+    file: "platform/src/engine_client.ts",
+    from: "pipelining: 0",
+    to: "pipelining: 1",
+    test: "platform/dist/engine_answers_test.js",
+  },
+  {
+    name: "starts of generations have a connection of their own",
+    file: "packages/engines/src/http_engine_client.ts",
+    from: "new undici.Agent({ connect, pipelining: 0 })",
+    to: "new undici.Agent({ connect })",
+    test: "packages/engines/dist/http_engine_client_test.js",
+  },
+  {
+    name: "no generation starts once the load balancer has noticed a stop",
+    file: "packages/policy/src/drain_schedule.ts",
+    from: "request.isGeneration && now >= stop.acceptUntil",
+    to: "request.isGeneration && now >= stop.answerBy",
+    test: "packages/policy/dist/drain_schedule_test.js",
+  },
   {
     name: "an unframed stream whose engine has exited is broken",
     file: "packages/gateway/src/generation_relay.ts",
