--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -122,7 +122,7 @@
   {
     name: "a planned stop refuses generations that cannot end in time",
     file: "packages/gateway/src/gateway.ts",
-    from: "this.#requestHandler.applyStop(schedule.answerBy, startedAt);",
+    from: "this.#requestHandler.applyStop(schedule, startedAt);",
     to: "",
     test: "platform/dist/planned_stop_test.js",
   },
@@ -192,8 +192,8 @@
   {
     name: "a call whose bytes may have reached the instance has an unknown outcome",
     file: "packages/gateway/src/call_forwarder.ts",
-    from: 'outcome: this.#isSent ? "unknown" : "not_run",',
-    to: 'outcome: "not_run",',
+    from: 'this.#connectionUse === undefined ? "not_run" : "unknown", report',
+    to: '"not_run", report',
     test: "platform/dist/late_delivery_test.js",
   },
   {
