--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -1,5 +1,7 @@
 /** Mutations of the source code, each with the guarantee it breaks and the test that must fail. */
 
+import * as policyMutations from "./policy_mutations.ts";
+
 /** A change to one place of the source code that breaks a guarantee. */
 export interface Mutation {
   /** Guarantee that the mutation breaks. */
@@ -14,6 +16,7 @@
 }
 
 export const MUTATIONS: readonly Mutation[] = [
+  ...policyMutations.POLICY_MUTATIONS,
   {
     name: "a request goes on a connection at most once",
     file: "packages/gateway/src/connection_pool.ts",
@@ -42,13 +45,6 @@
     to: "new undici.Agent({ connect })",
     test: "packages/engines/dist/http_engine_client_test.js",
   },
-  {
-    name: "no generation starts once the load balancer has noticed a stop",
-    file: "packages/policy/src/drain_schedule.ts",
-    from: "request.isGeneration && now >= stop.acceptUntil",
-    to: "request.isGeneration && now >= stop.answerBy",
-    test: "packages/policy/dist/drain_schedule_test.js",
-  },
   {
     name: "an unframed stream whose engine has exited is broken",
     file: "packages/gateway/src/generation_relay.ts",
@@ -147,13 +143,6 @@
     to: "receipt === undefined",
     test: "packages/gateway/dist/peer_restart_test.js",
   },
-  {
-    name: "a confirmation in the future is ignored",
-    file: "packages/policy/src/config_register.ts",
-    from: "if (answer.ageMs < 0 || answer.sentAt > now) return;",
-    to: "",
-    test: "packages/policy/dist/config_register_test.js",
-  },
   {
     name: "a prompt with a quarantined part is not sent to engines",
     file: "packages/gateway/src/stream_forwarder.ts",
@@ -182,13 +171,6 @@
     to: ";",
     test: "platform/dist/named_limit_test.js",
   },
-  {
-    name: "the processes of a fleet divide a limit among them",
-    file: "packages/policy/src/endpoint_limits.ts",
-    from: "return 1_000 * fleetSize / limit.ratePerS;",
-    to: "return 1_000 / limit.ratePerS;",
-    test: "packages/policy/dist/endpoint_limits_test.js",
-  },
   {
     name: "a call whose bytes may have reached the instance has an unknown outcome",
     file: "packages/gateway/src/call_forwarder.ts",
@@ -217,28 +199,6 @@
     to: "if (this.#bytesSinceEvent < 0) {",
     test: "packages/engines/dist/sse_stream_test.js",
   },
-  {
-    name: "placements on late reports are spread",
-    file: "packages/policy/src/placement_spread.ts",
-    from: "1 + Math.floor(unseenStarts)",
-    to: "1",
-    test: "packages/policy/dist/placement_spread_test.js",
-  },
-  {
-    name: "a hub passes on a report that another hub passed on first",
-    file: "packages/policy/src/load_relay.ts",
-    from: "if (!isNewlyDirect || isNewer(known.report, report)) return false;",
-    to: "return false;",
-    test: "packages/policy/dist/load_relay_test.js",
-  },
-  {
-    name: "an older report does not bring loads back",
-    file: "packages/policy/src/load_relay.ts",
-    from:
-      "if (report.incarnation !== known.incarnation) return report.incarnation > known.incarnation;",
-    to: "",
-    test: "packages/policy/dist/load_relay_test.js",
-  },
   {
     name: "loads of a hub that is gone are withdrawn",
     file: "packages/gateway/src/peer_agent.ts",
@@ -246,13 +206,6 @@
     to: "",
     test: "packages/gateway/dist/peer_agent_test.js",
   },
-  {
-    name: "a status read before a request was not taken brings no grants back",
-    file: "packages/policy/src/engine_state.ts",
-    from: "const isOutdated = info.statusReadAt <= this.#notTakenAt;",
-    to: "const isOutdated = false;",
-    test: "packages/policy/dist/scheduler_test.js",
-  },
   {
     name: "a process requests a newer configuration from the peer that has it",
     file: "packages/gateway/src/peer_agent.ts",
@@ -260,20 +213,6 @@
     to: "",
     test: "platform/dist/fleet_test.js",
   },
-  {
-    name: "after an attempt that may have run, only idempotent requests are retried",
-    file: "packages/policy/src/forward_retry.ts",
-    from: 'if (attempt.outcome !== "not_run" && attempt.kind !== "idempotent") {',
-    to: "if (attempt.ranAttempts > 99) {",
-    test: "packages/policy/dist/forward_retry_test.js",
-  },
-  {
-    name: "status 503 is only returned for requests that have not run",
-    file: "packages/policy/src/forward_retry.ts",
-    from: 'if (outcome === "not_run") return 503;',
-    to: "if (!options.isLate) return 503;",
-    test: "packages/policy/dist/forward_retry_test.js",
-  },
   {
     name: "an answer that carries the id of another request is rejected",
     file: "packages/gateway/src/answer_check.ts",
@@ -344,13 +283,6 @@
     to: "",
     test: "packages/core/dist/pause_aware_clock_test.js",
   },
-  {
-    name: "the release in force never decreases",
-    file: "packages/policy/src/config_register.ts",
-    from: "if (currentRelease !== undefined && config.release < currentRelease) return false;",
-    to: "",
-    test: "packages/policy/dist/config_register_test.js",
-  },
   {
     name: "a watch event does not confirm the configuration as current",
     file: "packages/gateway/src/store_agent.ts",
@@ -372,13 +304,6 @@
     to: "",
     test: "platform/dist/store_faults_test.js",
   },
-  {
-    name: "entries that expire during a store outage are kept for a grace period after it",
-    file: "packages/policy/src/instance_directory.ts",
-    from: "this.#graceUntil = now + EXPIRED_ENTRY_GRACE_MS;",
-    to: "this.#graceUntil = now;",
-    test: "packages/policy/dist/instance_directory_test.js",
-  },
   {
     name: "an endpoint that closes its connections while the store is unavailable is probed",
     file: "packages/gateway/src/leave_watcher.ts",
@@ -386,13 +311,6 @@
     to: "",
     test: "platform/dist/config_test.js",
   },
-  {
-    name: "retries stay within the retry budget",
-    file: "packages/policy/src/window_budget.ts",
-    from: "if (this.#retryTimes.length + 1 > allowedRetries * USED_SHARE) return false;",
-    to: "if (allowedRetries < 0) return false;",
-    test: "packages/policy/dist/window_budget_test.js",
-  },
   {
     name: "stream events delivered before a hand-over are not delivered again",
     file: "packages/gateway/src/event_splitter.ts",
