Decode the keys of evacuations

Cause: operators evacuate a zone with a key of the store; any value counts. Change: listing and watch yield the zone, the revision and whether the key exists; the value is not decoded, and may be missing.

--- a/packages/gateway/src/routing_store.ts
+++ b/packages/gateway/src/routing_store.ts
@@ -4,6 +4,7 @@
  */
 
 import type * as core from "@peridotvale/core";
+import type * as policy from "@peridotvale/policy";
 import type * as neverthrow from "neverthrow";
 
 export interface StoreError {
@@ -41,6 +42,8 @@
   readonly records: readonly core.EndpointRecord[];
   readonly peers: readonly AnnouncedPeer[];
   readonly quarantines: readonly StoredQuarantine[];
+  /** Zones that are evacuated, including those whose entries have unreadable values. */
+  readonly evacuations: readonly policy.ZoneEvacuation[];
   /** Store-wide revision at the start of the listing. */
   readonly storeRevision: number;
   /** Descriptions of the entries that could not be decoded. */
@@ -60,6 +63,7 @@
   | { readonly type: "peer_removed"; readonly process: core.ProcessId }
   | { readonly type: "quarantine"; readonly quarantine: StoredQuarantine }
   | { readonly type: "quarantine_removed"; readonly part: core.PromptPartId }
+  | { readonly type: "evacuation"; readonly evacuation: policy.ZoneEvacuation }
   | { readonly type: "unreadable"; readonly detail: string };
 
 /** Changes that one watch call delivered. */
