Keep new work away from the endpoints of evacuated zones

Change: an agent applies evacuations of the store and of peers' reports, which carry the whole register; the list of usable endpoints leaves out evacuated zones. A peer that does not report evacuations is of an older version; its revision is adopted only with a listing, which may contain keys that it skipped.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import type * as codec from "./codec.ts";
 import * as pools from "./connection_pool.ts";
 import type * as controls from "./engine_control.ts";
+import * as evacuations from "./evacuation_agent.ts";
 import type * as contexts from "./gateway_context.ts";
 import * as gauges from "./gateway_metrics.ts";
 import * as fronts from "./front_server.ts";
@@ -115,10 +116,12 @@
       onListing: (listing, now) => {
         this.#peerAgent.recordAnnouncements(listing.peers);
         this.#context.quarantineAgent.applyListing(listing, now);
+        this.#context.evacuationAgent.applyListing(listing);
       },
       onOtherChange: (change, now) => {
         this.#peerAgent.applyStoreChange(change);
         this.#context.quarantineAgent.applyStoreChange(change, now);
+        this.#context.evacuationAgent.applyStoreChange(change);
       },
       onInstanceChanges: (changes) => this.#publishChanges(changes),
     });
@@ -257,6 +260,7 @@
         onCrash: (instance, now) => this.#context.enginePlacement.recordCrash(instance, now),
         onQuarantined: (now) => this.#streamForwarder.applyQuarantine(now),
       }),
+      evacuationAgent: new evacuations.EvacuationAgent({ logger }),
       engineControl: this.#options.engineControl,
       getRetryBudget: (service) => this.#getRetryBudget(service),
       getProcessCount: () => Math.max(MIN_PROCESS_COUNT, this.#peerAgent.knownPeerCount + 1),
@@ -266,7 +270,7 @@
       getEngineProfile: (service) => config.inForce?.config.services.get(service)?.engine,
       listEndpoints: (service) => this.#listConnectableEndpoints(service),
       getLimitWaitMs: (service, now) =>
-        this.#context.limitAgent.getWaitMs(directory.listUsableEndpoints(service), now),
+        this.#context.limitAgent.getWaitMs(this.#listUsableEndpoints(service), now),
       listEngines: (service) => {
         const profile = config.inForce?.config.services.get(service)?.engine;
         const records = this.#listConnectableEndpoints(service);
@@ -276,15 +280,22 @@
     };
   }
 
+  /** Returns the endpoints that may get new work: they do not leave, nor is their zone evacuated. */
+  #listUsableEndpoints(service: core.ServiceName): core.EndpointRecord[] {
+    const { directory, evacuationAgent } = this.#context;
+    return directory.listUsableEndpoints(service)
+      .filter((record) => evacuationAgent.isUsable(record));
+  }
+
   /**
    * Returns the usable endpoints that this process may send to now: their own limits permit it, and
    * there is an idle connection or room for another one. Each process may use an equal part of the
    * service's connection limit.
    */
   #listConnectableEndpoints(service: core.ServiceName): core.EndpointRecord[] {
-    const { config, directory, pool, limitAgent } = this.#context;
+    const { config, pool, limitAgent } = this.#context;
     const now = this.#options.clock.now();
-    const records = directory.listUsableEndpoints(service)
+    const records = this.#listUsableEndpoints(service)
       .filter((record) => limitAgent.canSend(record.instance, now));
     const maxConnections = config.inForce?.config.services.get(service)?.maxConnections;
     if (maxConnections === undefined) return records;
@@ -303,6 +314,7 @@
       notices: directory.listLeaveNotices(now),
       quarantine: quarantineAgent.listNews(scope, now),
       limits: limitAgent.listNews(scope, now),
+      evacuations: this.#context.evacuationAgent.listEntries(),
       store: release === undefined ? undefined : {
         release,
         confirmAgeMs: config.getConfirmAgeMs(now),
@@ -319,6 +331,8 @@
   ): void {
     const { directory, config } = this.#context;
     const { acknowledgedReportSentAt: sentAt, now } = reportTiming;
+    const { evacuations: entries } = report;
+    this.#context.evacuationAgent.applyReport(entries ?? []);
     for (const notice of report.notices) {
       this.#publishChanges(directory.applyNotice(notice, now));
     }
@@ -326,7 +340,9 @@
     this.#context.limitAgent.applyNews(report.limits, now);
     const { store } = report;
     if (store === undefined) return;
-    this.#storeAgent.applyPeerView(store, reportTiming);
+    // A peer that does not report evacuations may skip them, so that its revision needs a listing.
+    const isContinuous = reportTiming.isContinuous && entries !== undefined;
+    this.#storeAgent.applyPeerView(store, { isContinuous, now });
     if (sentAt === undefined) return;
     const release = core.createRelease(store.release);
     config.applyPeerConfirmation(release, { sentAt, ageMs: store.confirmAgeMs }, now);
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -5,6 +5,7 @@
 import type * as codec from "./codec.ts";
 import type * as pools from "./connection_pool.ts";
 import type * as controls from "./engine_control.ts";
+import type * as evacuations from "./evacuation_agent.ts";
 import type * as limitAgents from "./limit_agent.ts";
 import type * as quarantines from "./quarantine_agent.ts";
 import type * as settingsModule from "./gateway_settings.ts";
@@ -26,6 +27,7 @@
   readonly peerLoads: policy.PeerLoads;
   readonly limitAgent: limitAgents.LimitAgent;
   readonly quarantineAgent: quarantines.QuarantineAgent;
+  readonly evacuationAgent: evacuations.EvacuationAgent;
   readonly engineControl: controls.EngineControl;
   /** Returns the endpoints of `service` that may receive new requests. */
   listEndpoints(service: core.ServiceName): core.EndpointRecord[];
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -367,9 +367,9 @@
 }
 
 /** Encodes what the news are about, without their ages, which change all the time. */
-function encodeNewsSubjects({ quarantine, limits }: types.OwnReport): string {
+function encodeNewsSubjects({ quarantine, limits, evacuations }: types.OwnReport): string {
   const crashes = quarantine.crashes.map(({ instance, suspects }) => [instance, suspects.length]);
   const soundParts = quarantine.soundParts.map(({ part }) => part);
   const limitRates = limits.map(({ instance, ratePerS }) => [instance, ratePerS]);
-  return JSON.stringify([crashes, soundParts, limitRates]);
+  return JSON.stringify([crashes, soundParts, limitRates, evacuations]);
 }
--- a/packages/gateway/src/peer_agent_options.ts
+++ b/packages/gateway/src/peer_agent_options.ts
@@ -12,6 +12,8 @@
   readonly store: peers.StoreView | undefined;
   readonly quarantine: policy.QuarantineNews;
   readonly limits: readonly policy.LimitReport[];
+  /** All known evacuations of zones; an empty list states that the sender knows of none. */
+  readonly evacuations: readonly policy.ZoneEvacuation[];
 }
 
 /** When a peer's report arrived, and how it relates to earlier reports. */
--- a/packages/gateway/src/peer_agent_test.ts
+++ b/packages/gateway/src/peer_agent_test.ts
@@ -51,6 +51,7 @@
         store: undefined,
         quarantine: { crashes: [], soundParts: [] },
         limits: [],
+        evacuations: [],
       }),
       onReport: () => {},
       getReportRefreshIntervalMs: () => 500,
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -90,6 +90,11 @@
   readonly quarantine: policy.QuarantineNews;
   /** Limits of endpoints that the sender learned of recently, and those that have ended. */
   readonly limits: readonly policy.LimitReport[];
+  /**
+   * All known evacuations of zones, also ended ones; undefined if the sender runs a version that
+   * does not report them.
+   */
+  readonly evacuations?: readonly policy.ZoneEvacuation[];
   /** Loads of other processes that the sender, a hub, passes on since its last report. */
   readonly relayed: readonly policy.RelayedLoads[];
 }
