Neither queued sends nor hand-overs reach an evacuated zone

Cause: a request may wait a second for its connection, and a hand-over takes seconds; the zone can become evacuated meanwhile. A generation whose final copy failed continued at its source. Change: the pool asks before the first byte whether the endpoint may still be used; a hand-over checks its target before the final copy and before it continues, and copies to another engine, or breaks the stream off, instead of continuing in an evacuated zone. Health is not probed there.

--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -165,7 +165,9 @@
         urgency: undefined,
         memory: undefined,
       });
-      const wireRequest = request.createWireRequest(headers);
+      const { evacuationAgent } = this.#context;
+      const canStart = () => evacuationAgent.isUsable(endpoint);
+      const wireRequest = request.createWireRequest(headers, canStart);
       call.start(this.#context.pool.send(endpoint.endpoint, wireRequest, call));
     });
   }
--- a/packages/gateway/src/connection_pool.ts
+++ b/packages/gateway/src/connection_pool.ts
@@ -42,6 +42,11 @@
    * an answer to that attempt names the request too.
    */
   readonly avoidedConnections: ReadonlySet<core.ConnectionId>;
+  /**
+   * Whether the request may still be sent. Called before the first byte, which may be a second
+   * after `send` if a connection is opened for it. Absent: always.
+   */
+  readonly canStart?: () => boolean;
 }
 
 /** Controls a request and its answer: aborts them, or pauses the delivery of the answer. */
@@ -109,6 +114,7 @@
       {
         onRequestStart(dispatchController) {
           controller = dispatchController;
+          if (request.canStart?.() === false) abortReason ??= "endpoint may not be used any more";
           if (abortReason !== undefined) return dispatchController.abort(new Error(abortReason));
           listener.onSent(use);
         },
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -12,6 +12,7 @@
 import type * as controls from "./engine_control.ts";
 import * as splitters from "./event_splitter.ts";
 import type * as contexts from "./gateway_context.ts";
+import * as fallbacks from "./hand_over_fallback.ts";
 import * as requests from "./open_request.ts";
 import * as problems from "./problems.ts";
 import * as promptParts from "./prompt_parts.ts";
@@ -29,8 +30,6 @@
 
 /** Longest wait for the remaining events of a generation that was stopped for a hand-over. */
 const LAST_EVENTS_TIMEOUT_MS = 150;
-/** Time-out of one memory copy. A leaving engine stops earlier, about 2 s after its notice. */
-const COPY_TIMEOUT_MS = 4_000;
 /** Time-out of the connection that shows whether an engine still runs. */
 const END_CHECK_TIMEOUT_MS = 500;
 const EXITED_END: upstreams.UpstreamEnd = {
@@ -177,6 +176,7 @@
       const preCopy = await this.#copy(source, target, false);
       if (preCopy.isErr()) return this.#failMove("copy_ahead_failed", target, preCopy.error.type);
       if (source.hasEnded) return this.#failMove("ended_before", target, undefined);
+      if (!this.#canReceive(target)) return this.#failMove("evacuated", target, undefined);
       return await this.#stopAndMove(source, target);
     } finally {
       this.#isHandingOver = false;
@@ -185,7 +185,8 @@
 
   /**
    * Stops the generation by a final copy and continues it at `target`. If the copy fails after
-   * the generation was stopped, it continues at the source, which still holds its memory.
+   * the generation was stopped, it continues at the source, which still holds its memory, or at
+   * another engine if the source's zone is evacuated. Without one, the stream is broken off.
    */
   async #stopAndMove(
     source: upstreams.UpstreamStream,
@@ -201,24 +202,24 @@
     if (!source.hasEnded) await this.#waitForLastEvents(source, upstreamEnded);
     this.#runStop.recordStopped();
     this.#context.enginePlacement.recordEnd(source.endpoint.instance, this.request.id);
-    if (this.request.end !== undefined) {
-      this.#resolveRun(undefined);
-      await this.#context.engineControl.releaseMemory(source.endpoint.endpoint, handle);
-      return this.#failMove("caller_gone", target, undefined);
+    const copy = { source: source.endpoint, target, handle, isComplete: finalCopy.isOk() };
+    const next = await fallbacks.findContinuation(this.#context, this, copy);
+    if (next.endpoint === undefined) {
+      const outcome = this.request.end === undefined ? "no_continuation" : "caller_gone";
+      this.#settleUpstreamEnd(stops.STOPPED_END);
+      await this.#context.engineControl.releaseMemory(source.endpoint.endpoint, next.handle);
+      return this.#failMove(outcome, target, undefined);
     }
-    const nextEndpoint = finalCopy.isOk() ? target : source.endpoint;
-    if (nextEndpoint !== target) {
-      this.#context.enginePlacement.recordEnd(target.instance, this.request.id);
-    }
-    this.#upstream = this.#createUpstream(nextEndpoint);
+    this.#upstream = this.#createUpstream(next.endpoint);
     this.#context.getRetryBudget(this.routed.service).recordRetry(this.#context.clock.now());
     this.#startUpstream({
-      source: source.endpoint.endpoint,
-      handle,
+      source: copy.source.endpoint,
+      handle: next.handle,
       lastEventId: this.#lastEventId,
     });
-    this.#recordMove(finalCopy.isOk() ? "moved" : "continued_at_source", target, { handle });
-    return finalCopy.isOk();
+    const isMoved = next.endpoint !== copy.source;
+    this.#recordMove(isMoved ? "moved" : "continued_at_source", next.endpoint, next);
+    return isMoved;
   }
 
   /**
@@ -246,12 +247,8 @@
   }
 
   #copy(source: upstreams.UpstreamStream, target: core.EndpointRecord, isFinal: boolean) {
-    return this.#context.engineControl.copyMemory(source.endpoint.endpoint, {
-      request: this.request.id,
-      target: target.endpoint,
-      isFinal,
-      timeoutMs: COPY_TIMEOUT_MS,
-    });
+    const copy = { source: source.endpoint, target, isFinal };
+    return fallbacks.copyMemory(this.#context, this.request.id, copy);
   }
 
   /** Records that the generation was not moved to `target`; returns false. */
@@ -309,10 +306,14 @@
       urgency: this.routed.rank,
       memory,
     });
-    const wireRequest = this.request.createWireRequest(headers);
+    const wireRequest = this.request.createWireRequest(headers, () => this.#canReceive(endpoint));
     upstream.start(this.#context.pool.send(endpoint.endpoint, wireRequest, upstream));
   }
 
+  #canReceive(endpoint: core.EndpointRecord): boolean {
+    return this.#context.evacuationAgent.isUsable(endpoint);
+  }
+
   #onCancel(reason: "caller_gone" | "timeout"): void {
     const isStoppingRun = this.#runStop.isPending;
     if (reason === "timeout") {
--- a/packages/gateway/src/leave_watcher.ts
+++ b/packages/gateway/src/leave_watcher.ts
@@ -49,6 +49,8 @@
     const { context, isStoreLost } = this.#options;
     const { instance } = endpoint;
     const now = context.clock.now();
+    // A service may count health probes as requests; an evacuated zone gets no requests anyway.
+    if (!context.evacuationAgent.isUsable(endpoint)) return;
     if (!isStoreLost(now) && !context.directory.isEntryMissing(instance)) return;
     const probedAt = this.#healthProbedAt.get(instance) ?? -Infinity;
     if (now - probedAt < HEALTH_PROBE_INTERVAL_MS || !context.directory.isUsable(instance)) return;
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -82,14 +82,18 @@
     return Math.max(1, Math.round(this.getRemainingMs(now) - ANSWER_MARGIN_MS));
   }
 
-  /** Creates the request to send to an endpoint, with the headers encoded for it. */
-  createWireRequest(headers: string[]): pools.WireRequest {
+  /**
+   * Creates the request to send to an endpoint, with the headers encoded for it. `canStart` tells
+   * before the first byte whether the endpoint may still be used.
+   */
+  createWireRequest(headers: string[], canStart: () => boolean): pools.WireRequest {
     return {
       method: this.method,
       path: this.path,
       headers,
       body: this.body,
       avoidedConnections: this.usedConnections,
+      canStart,
     };
   }
 
--- a/packages/gateway/src/run_stop.ts
+++ b/packages/gateway/src/run_stop.ts
@@ -8,7 +8,7 @@
 import type * as upstreams from "./upstream_stream.ts";
 
 /** End of the stream of a generation that was stopped and does not continue. */
-const STOPPED_END: upstreams.UpstreamEnd = {
+export const STOPPED_END: upstreams.UpstreamEnd = {
   type: "broken",
   outcome: "unknown",
   reason: "stopped for a move",
