Metrics of evacuated zones

Cause: operators need to see which zones are evacuated, since when, and what still runs there. Change: gauges for the number of zones, and by zone the revision and the open calls and generations.

--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -161,6 +161,28 @@
     });
   }
 
+  /** Registers a gauge with one value per label value, read each time metrics are collected. */
+  registerLabelledGauge(
+    name: string,
+    help: string,
+    options: {
+      readonly labelName: string;
+      readonly read: () => Iterable<readonly [labelValue: string, value: number]>;
+    },
+  ): void {
+    const { labelName, read } = options;
+    new prometheus.Gauge({
+      name: `peridotvale_${name}`,
+      help,
+      labelNames: [labelName],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const [labelValue, value] of read()) this.set({ [labelName]: labelValue }, value);
+      },
+    });
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   formatText(): Promise<string> {
     return this.#registry.metrics();
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -116,7 +116,7 @@
   ): Promise<AttemptResult> {
     const { endpoint, history } = options;
     history.triedInstances.add(endpoint.instance);
-    request.instance = endpoint.instance;
+    request.endpoint = endpoint;
     const startedAt = this.#context.clock.now();
     const remainingMs = request.getRemainingMs(startedAt);
     const mayRetry = routed.route.kind === "idempotent" &&
--- a/packages/gateway/src/evacuation_agent.ts
+++ b/packages/gateway/src/evacuation_agent.ts
@@ -19,9 +19,9 @@
     this.#options = options;
   }
 
-  /** Number of zones that are evacuated. */
-  get evacuatedCount(): number {
-    return this.#register.listEvacuated().length;
+  /** Lists the zones that are evacuated. */
+  listEvacuated(): policy.ZoneEvacuation[] {
+    return this.#register.listEvacuated();
   }
 
   /** Whether `endpoint` may receive requests: its zone is not evacuated. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -170,6 +170,7 @@
     gauges.registerGauges(this.#context, {
       streamForwarder: this.#streamForwarder,
       peerAgent: this.#peerAgent,
+      requestHandler: this.#requestHandler,
     });
     logger.write("started", { front: `${settings.front.host}:${settings.front.port}` });
   }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -4,6 +4,7 @@
 import type * as core from "@peridotvale/core";
 import type * as contexts from "./gateway_context.ts";
 import type * as peerAgents from "./peer_agent.ts";
+import type * as handlers from "./request_handler.ts";
 import type * as streams from "./stream_forwarder.ts";
 
 /** Registers the gauges that are read from the state of the process when metrics are written. */
@@ -12,6 +13,7 @@
   sources: {
     readonly streamForwarder: streams.StreamForwarder;
     readonly peerAgent: peerAgents.PeerAgent;
+    readonly requestHandler: handlers.RequestHandler;
   },
 ): void {
   const { metrics, config, directory, pool, peerLoads, quarantineAgent, limitAgent, clock } =
@@ -50,11 +52,47 @@
     "Endpoints that name a limit on their request rate.",
     () => limitAgent.limitedCount,
   );
+  registerEvacuations(context, sources);
   register("opened_connections", "Connections to endpoints.", () => pool.openedCount);
   register("open_links", "Links to other processes.", () => peerAgent.linkCount);
   register("linked_processes", "Processes that report.", () => peerLoads.processCount);
 }
 
+/** Registers which zones are evacuated and what still runs there. */
+function registerEvacuations(
+  { metrics, evacuationAgent }: contexts.GatewayContext,
+  sources: {
+    readonly streamForwarder: streams.StreamForwarder;
+    readonly requestHandler: handlers.RequestHandler;
+  },
+): void {
+  metrics.registerGauge("evacuated_zones", "Zones that are evacuated.", {
+    read: () => evacuationAgent.listEvacuated().length,
+  });
+  metrics.registerLabelledGauge(
+    "evacuated_zone_revision",
+    "Store revision of the evacuation of a zone.",
+    {
+      labelName: "zone",
+      read: () => evacuationAgent.listEvacuated().map(({ zone, revision }) => [zone, revision]),
+    },
+  );
+  metrics.registerLabelledGauge(
+    "evacuated_zone_open_requests",
+    "Calls and generations of this process that still run in an evacuated zone.",
+    {
+      labelName: "zone",
+      read: () => {
+        const endpoints = [...sources.streamForwarder.relays].map(({ endpoint }) => endpoint);
+        endpoints.push(...sources.requestHandler.listCalledEndpoints());
+        return evacuationAgent.listEvacuated().map(({ zone }) => {
+          return [zone, endpoints.filter((endpoint) => endpoint.zone === zone).length];
+        });
+      },
+    },
+  );
+}
+
 /** Answers a request for the metrics. */
 export async function writeMetrics(
   metrics: core.Metrics,
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -295,7 +295,7 @@
     const { endpoint } = upstream;
     this.#firstEventAt = undefined;
     this.#sentAt = this.#context.clock.now();
-    this.request.instance = endpoint.instance;
+    this.request.endpoint = endpoint;
     if (memory === undefined) {
       this.#context.enginePlacement.recordStart(endpoint.instance, this.request.id, this.size);
     }
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -41,8 +41,8 @@
   /** Time at which the answer is due; a new configuration with a shorter time-out lowers it. */
   answerBy = Infinity;
   end: RequestEnd | undefined;
-  /** Instance that the request was last sent to. */
-  instance: core.InstanceId | undefined;
+  /** Endpoint that the request was last sent to. */
+  endpoint: core.EndpointRecord | undefined;
   /** Connections to endpoints that have carried the request. */
   readonly usedConnections = new Set<core.ConnectionId>();
   /** Whether the caller closed its connection before the answer was complete. */
@@ -72,6 +72,11 @@
     options.response.on("close", () => this.#onResponseClose());
   }
 
+  /** Instance that the request was last sent to. */
+  get instance(): core.InstanceId | undefined {
+    return this.endpoint?.instance;
+  }
+
   /** Returns the time left until the answer is due; negative after that time. */
   getRemainingMs(now: number): number {
     return this.answerBy - now;
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -70,6 +70,15 @@
     return this.#openRequests.size;
   }
 
+  /** Lists the endpoints that open calls were last sent to, one for each call. */
+  listCalledEndpoints(): core.EndpointRecord[] {
+    const endpoints: core.EndpointRecord[] = [];
+    for (const { endpoint, routed } of this.#openRequests) {
+      if (endpoint !== undefined && routed?.route.kind !== "streaming") endpoints.push(endpoint);
+    }
+    return endpoints;
+  }
+
   /** Serves one request; resolves when it has ended. */
   async handle(incoming: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const { context } = this.#options;
