Confirmations are frequent enough for EvacuateMs

Cause: only a read shows that a watch is stalled; a bound below 5 s would need more frequent ones than every 2 s. Change: Bounds.EvacuateMs (5,000) lowers the interval to 1/2.5 of itself, which leaves time for a listing and two reports; the default changes nothing. Measured: store_watcher_election_test and decoding_test pass.

--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -17,6 +17,8 @@
   readonly isRevocationStrict: boolean;
   /** Time within which every process applies a new configuration. */
   readonly configApplyMs: number;
+  /** Time within which no process sends requests to a zone any more after its evacuation. */
+  readonly evacuateMs?: number;
   /** Time from SIGTERM to SIGKILL. */
   readonly gracePeriodMs: number;
   readonly retries: policy.RetryBounds;
--- a/packages/policy/src/store_watcher_election.ts
+++ b/packages/policy/src/store_watcher_election.ts
@@ -34,6 +34,8 @@
  */
 const CONFIRMATIONS_PER_APPLY_BOUND = 2;
 const CONFIRMATIONS_PER_REVOCATION_BOUND = 4;
+/** A confirmation shows that a watch is stalled; the listing and two reports follow it. */
+const CONFIRMATIONS_PER_EVACUATION_BOUND = 2.5;
 
 /** Longest interval between reports; a link is replaced after four intervals without a message. */
 const MAX_REPORT_INTERVAL_MS = 500;
@@ -42,10 +44,15 @@
 
 /** Computes the interval between confirmations from the operators' bounds. */
 export function computeConfirmIntervalMs(
-  bounds: { readonly configApplyMs: number; readonly keyRevocationMs: number },
+  bounds: {
+    readonly configApplyMs: number;
+    readonly keyRevocationMs: number;
+    readonly evacuateMs?: number;
+  },
 ): number {
   return Math.min(
     MAX_CONFIRM_INTERVAL_MS,
+    (bounds.evacuateMs ?? Infinity) / CONFIRMATIONS_PER_EVACUATION_BOUND,
     bounds.configApplyMs / CONFIRMATIONS_PER_APPLY_BOUND,
     bounds.keyRevocationMs / CONFIRMATIONS_PER_REVOCATION_BOUND,
   );
