--- a/packages/gateway/src/connection_pool_test.ts
+++ b/packages/gateway/src/connection_pool_test.ts
@@ -1,3 +1,5 @@
+import * as http from "node:http";
+import type * as net from "node:net";
 import * as workers from "node:worker_threads";
 import * as core from "@peridotvale/core";
 import * as tap from "tap";
@@ -134,3 +136,36 @@
   t.match(error.message, /ECONNREFUSED/);
   t.equal(pool.canSend(unreachable, 1), true);
 });
+
+// A zone was evacuated while the connection was opened; the request went out all the same.
+tap.t.test("a request whose endpoint may not be used any more is not sent", async (t) => {
+  let requestCount = 0;
+  const server = http.createServer((_request, response) => {
+    requestCount += 1;
+    response.end();
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", () => resolve()));
+  t.teardown(() => server.close());
+  const { port } = server.address() as net.AddressInfo;
+  const endpoint = core.createId<core.EndpointId>(`127.0.0.1:${port}`);
+  let isUsable = true;
+  const end = new Promise<string>((resolve) => {
+    new pools.ConnectionPool().send(endpoint, {
+      method: "GET",
+      path: "/",
+      headers: [],
+      body: undefined,
+      avoidedConnections: NO_CONNECTIONS,
+      canStart: () => isUsable,
+    }, {
+      onSent: () => resolve("sent"),
+      onHead: () => {},
+      onData: () => {},
+      onEnd: () => true,
+      onError: (error) => resolve(error.message),
+    });
+  });
+  isUsable = false;
+  t.match(await end, /may not be used/);
+  t.equal(requestCount, 0);
+});
