--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -17,6 +17,34 @@
 
 export const MUTATIONS: readonly Mutation[] = [
   ...policyMutations.POLICY_MUTATIONS,
+  {
+    name: "endpoints in evacuated zones are not usable",
+    file: "packages/gateway/src/gateway.ts",
+    from: "      .filter((record) => evacuationAgent.isUsable(record));",
+    to: "      .filter((record) => evacuationAgent !== undefined && record !== undefined);",
+    test: "platform/dist/evacuation_test.js",
+  },
+  {
+    name: "a request does not go out to an endpoint that may not be used any more",
+    file: "packages/gateway/src/connection_pool.ts",
+    from: "request.canStart?.() === false",
+    to: "request.canStart === undefined && abortReason !== undefined",
+    test: "packages/gateway/dist/connection_pool_test.js",
+  },
+  {
+    name: "a stopped generation does not continue at a source in an evacuated zone",
+    file: "packages/gateway/src/hand_over_fallback.ts",
+    from: "if (evacuationAgent.isUsable(planned)) return",
+    to: "if (planned !== undefined) return",
+    test: "platform/dist/evacuation_test.js",
+  },
+  {
+    name: "reports between processes carry evacuations",
+    file: "packages/gateway/src/gateway.ts",
+    from: "evacuations: this.#context.evacuationAgent.listEntries(),",
+    to: "evacuations: [],",
+    test: "platform/dist/evacuation_fleet_test.js",
+  },
   {
     name: "a request goes on a connection at most once",
     file: "packages/gateway/src/connection_pool.ts",
--- a/packages/bench/src/policy_mutations.ts
+++ b/packages/bench/src/policy_mutations.ts
@@ -3,6 +3,13 @@
 import type * as mutations from "./mutations.ts";
 
 export const POLICY_MUTATIONS: readonly mutations.Mutation[] = [
+  {
+    name: "an older report does not bring an evacuation back",
+    file: "packages/policy/src/evacuation_register.ts",
+    from: "if (known !== undefined && !isNewer(entry, known)) return false;",
+    to: "",
+    test: "packages/policy/dist/evacuation_register_test.js",
+  },
   {
     name: "no generation starts once the load balancer has noticed a stop",
     file: "packages/policy/src/drain_schedule.ts",
