Tests of streams in evacuated zones in a file of their own

Cause: mutations run a test file by itself, which ends after 30 s; together the tests took 34 s, so that any mutation would have counted as detected. Change: two files.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -36,7 +36,7 @@
     file: "packages/gateway/src/hand_over_fallback.ts",
     from: "if (evacuationAgent.isUsable(planned)) return",
     to: "if (planned !== undefined) return",
-    test: "platform/dist/evacuation_test.js",
+    test: "platform/dist/evacuated_streams_test.js",
   },
   {
     name: "reports between processes carry evacuations",
