A hand-over searches no target while its source may continue; mutation

Cause: with a usable source, a search of seconds only delays the stream. A mutation's test ended after tap's 30 s, which counted as detected: streams_test run by node alone failed so on unchanged code.

--- a/packages/bench/src/mutation_main.ts
+++ b/packages/bench/src/mutation_main.ts
@@ -12,6 +12,8 @@
 /** Number of copies tested in parallel, since tests spend most of their time waiting. */
 const COPY_COUNT = 4;
 const TEST_TIMEOUT_MS = 90_000;
+/** Without it, a file that takes longer than 30 s by itself fails, which looks like a detection. */
+const TAP_TIMEOUT_S = TEST_TIMEOUT_MS / 1000;
 const COPIED_PATHS = ["deploy", "docs", "packages", "platform", "package.json", "tsconfig.json"];
 
 /** Copies the sources and the build output; returns the folder of the copy. */
@@ -60,7 +62,8 @@
 /** Runs a script; returns its exit code, or undefined if a signal killed it, as on a time-out. */
 function runScript(folder: string, args: readonly string[]): Promise<number | undefined> {
   return new Promise((resolve) => {
-    const child = childProcess.spawn(process.execPath, args, { cwd: folder, stdio: "ignore" });
+    const env = { ...process.env, TAP_TIMEOUT: String(TAP_TIMEOUT_S) };
+    const child = childProcess.spawn(process.execPath, args, { cwd: folder, env, stdio: "ignore" });
     const timer = setTimeout(() => child.kill("SIGKILL"), TEST_TIMEOUT_MS);
     child.on("close", (code) => {
       clearTimeout(timer);
--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -38,6 +38,14 @@
     to: "if (planned !== undefined) return",
     test: "platform/dist/evacuated_streams_test.js",
   },
+  {
+    name: "a hand-over does not continue at a target whose zone was evacuated",
+    file: "packages/gateway/src/hand_over_fallback.ts",
+    from: "const planned = isComplete ? target : source;",
+    to:
+      "const planned = isComplete ? target : source;\n  if (isComplete) return { endpoint: target, handle };",
+    test: "platform/dist/evacuated_streams_test.js",
+  },
   {
     name: "reports between processes carry evacuations",
     file: "packages/gateway/src/gateway.ts",
--- a/packages/gateway/src/hand_over_fallback.ts
+++ b/packages/gateway/src/hand_over_fallback.ts
@@ -35,8 +35,8 @@
 
 /** Time-out of one memory copy. A leaving engine stops earlier, about 2 s after its notice. */
 const COPY_TIMEOUT_MS = 4_000;
-/** Time for finding another target; a leaving engine holds the memory no longer. */
-const MAX_SEARCH_MS = 2_000;
+/** Time for finding another target; callers abandon a stream after a gap of 2 s. */
+const MAX_SEARCH_MS = 1_500;
 /** Delay before the next search for a target if no engine has room. */
 const NO_TARGET_RETRY_MS = 60;
 
@@ -111,6 +111,7 @@
       rank: routed.rank,
       isMove: true,
     });
+    if (endpoint === undefined && evacuationAgent.isUsable(source)) break;
     if (endpoint === undefined) {
       await core.waitFor(NO_TARGET_RETRY_MS);
       continue;
