--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -116,7 +116,7 @@
   ): Promise<AttemptResult> {
     const { endpoint, history } = options;
     history.triedInstances.add(endpoint.instance);
-    request.instance = endpoint.instance;
+    request.endpoint = endpoint;
     const startedAt = this.#context.clock.now();
     const remainingMs = request.getRemainingMs(startedAt);
     const mayRetry = routed.route.kind === "idempotent" &&
@@ -165,7 +165,9 @@
         urgency: undefined,
         memory: undefined,
       });
-      const wireRequest = request.createWireRequest(headers);
+      const { evacuationAgent } = this.#context;
+      const canStart = () => evacuationAgent.isUsable(endpoint);
+      const wireRequest = request.createWireRequest(headers, canStart);
       call.start(this.#context.pool.send(endpoint.endpoint, wireRequest, call));
     });
   }
