Break off unframed streams whose engine has restarted

Cause: after the end of a stream without length or chunks only the engine's listener was checked; an engine that restarts at its address within milliseconds accepts connections again. Change: the engine is asked for its state report; a start later than the one known when the request was sent (store entry, or what the engine stated before), another instance or no listener means that the stream is incomplete. One call for each unframed end, none for others.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -47,9 +47,16 @@
   },
   {
     name: "an unframed stream whose engine has exited is broken",
-    file: "packages/gateway/src/generation_relay.ts",
-    from: 'this.#settleUpstreamEnd(state === "refused" ? EXITED_END : end);',
-    to: "this.#settleUpstreamEnd(end);",
+    file: "packages/gateway/src/end_check.ts",
+    from: 'if (listener === "refused") return createLostEnd("engine exited");',
+    to: "",
+    test: "platform/dist/moved_streams_test.js",
+  },
+  {
+    name: "an unframed stream whose engine has restarted is broken",
+    file: "packages/gateway/src/end_check.ts",
+    from: 'return hasRestarted ? createLostEnd("engine restarted") : options.end;',
+    to: "return options.end;",
     test: "platform/dist/moved_streams_test.js",
   },
   {
--- a/packages/gateway/src/engine_control.ts
+++ b/packages/gateway/src/engine_control.ts
@@ -36,6 +36,10 @@
 export interface EngineState {
   /** Whether the engine accepts no new requests and will stop soon. */
   readonly isLeaving: boolean;
+  /** Instance that answered; absent if the answer does not name it. */
+  readonly instance?: core.InstanceId;
+  /** Wall-clock time of the engine's start; absent if the engine does not state it. */
+  readonly startedAt?: number;
 }
 
 export interface EndpointHealth {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -258,6 +258,7 @@
         onQuarantined: (now) => this.#streamForwarder.applyQuarantine(now),
       }),
       engineControl: this.#options.engineControl,
+      engineStarts: new policy.EngineStarts(),
       getRetryBudget: (service) => this.#getRetryBudget(service),
       getProcessCount: () => Math.max(MIN_PROCESS_COUNT, this.#peerAgent.knownPeerCount + 1),
       getReportLagMs: () => this.#peerAgent.reportLagMs,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -27,6 +27,7 @@
   readonly limitAgent: limitAgents.LimitAgent;
   readonly quarantineAgent: quarantines.QuarantineAgent;
   readonly engineControl: controls.EngineControl;
+  readonly engineStarts: policy.EngineStarts;
   /** Returns the endpoints of `service` that may receive new requests. */
   listEndpoints(service: core.ServiceName): core.EndpointRecord[];
   /** Returns the time until a limit of an endpoint of `service` permits a request; 0 if one does. */
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -7,8 +7,8 @@
 import * as core from "@peridotvale/core";
 import type * as policy from "@peridotvale/policy";
 import type * as codec from "./codec.ts";
-import * as probes from "./connect_probe.ts";
 import type * as pools from "./connection_pool.ts";
+import * as ends from "./end_check.ts";
 import type * as controls from "./engine_control.ts";
 import * as splitters from "./event_splitter.ts";
 import type * as contexts from "./gateway_context.ts";
@@ -31,14 +31,6 @@
 const LAST_EVENTS_TIMEOUT_MS = 150;
 /** Time-out of one memory copy. A leaving engine stops earlier, about 2 s after its notice. */
 const COPY_TIMEOUT_MS = 4_000;
-/** Time-out of the connection that shows whether an engine still runs. */
-const END_CHECK_TIMEOUT_MS = 500;
-const EXITED_END: upstreams.UpstreamEnd = {
-  type: "broken",
-  outcome: "unknown",
-  reason: "engine exited",
-  cause: "connection_lost",
-};
 
 /** Relays one generation, from the first request to an engine to the end of its stream. */
 export class GenerationRelay implements upstreams.UpstreamListener {
@@ -140,13 +132,12 @@
     core.startTask("check_end", () => this.#checkUnframedEnd(endToHandle), logger);
   }
 
-  /**
-   * Handles the end of a stream that only the end of its connection shows. An engine that exits
-   * closes its connections too, and then accepts no further ones.
-   */
+  /** Handles the end of a stream that only the end of its connection shows. */
   async #checkUnframedEnd(end: upstreams.UpstreamEnd): Promise<void> {
-    const state = await probes.checkListener(this.endpoint.endpoint, END_CHECK_TIMEOUT_MS);
-    this.#settleUpstreamEnd(state === "refused" ? EXITED_END : end);
+    const sentAt = this.#sentAt;
+    this.#settleUpstreamEnd(
+      await ends.checkUnframedEnd(this.#context, this.endpoint, { end, sentAt }),
+    );
   }
 
   #settleUpstreamEnd(end: upstreams.UpstreamEnd): void {
--- a/packages/gateway/src/leave_watcher.ts
+++ b/packages/gateway/src/leave_watcher.ts
@@ -105,6 +105,10 @@
       question: "state",
       answer: engineState === undefined ? "none" : engineState.isLeaving ? "leaving" : "staying",
     });
+    if (engineState?.startedAt !== undefined) {
+      const { instance } = endpoint;
+      context.engineStarts.recordStart(instance, engineState.startedAt, context.clock.now());
+    }
     if (engineState === undefined || !engineState.isLeaving) return;
     context.publishChanges(
       context.directory.recordAnnouncedLeaving(endpoint.instance, context.clock.now()),
--- a/packages/policy/src/instance_directory.ts
+++ b/packages/policy/src/instance_directory.ts
@@ -220,6 +220,11 @@
     return this.#instances.get(instance)?.missingSince !== undefined;
   }
 
+  /** Returns the time of the start that the last known entry of `instance` names. */
+  getStartedAt(instance: core.InstanceId): number | undefined {
+    return this.#instances.get(instance)?.record.startedAt;
+  }
+
   /** Whether `instance` is known and may get new work. */
   isUsable(instance: core.InstanceId): boolean {
     const knownInstance = this.#instances.get(instance);
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./endpoint_limits.ts";
 export * from "./endpoint_table.ts";
 export * from "./engine_placement.ts";
+export * from "./engine_starts.ts";
 export * from "./hand_over_plan.ts";
 export * from "./fair_queue.ts";
 export * from "./generation_queue.ts";
