Decide resends and resumptions of streams; decode their fields

Cause: a stream on a route with Resumable may be sent again before its first event and resumed after it; nothing decided or encoded that. Change: stream_resumption.ts (policy) decides the step after an attempt, when a silent attempt may be replaced, and the size of what is left. Route gets isResumable and gapAimMs; a forwarded request may carry a last event id that replaces the caller's. Not in use yet.

--- a/packages/core/src/routing_config.ts
+++ b/packages/core/src/routing_config.ts
@@ -33,6 +33,10 @@
   readonly targets: readonly RouteTarget[];
   /** Maximum number of endpoints that one request may be sent to. */
   readonly maxAttempts: number;
+  /** Whether a stream that broke off may be resumed at another endpoint, and counts as idempotent. */
+  readonly isResumable: boolean;
+  /** Longest pause between the events of a stream that is still on time; 0 if not stated. */
+  readonly gapAimMs: number;
   readonly needsKey: boolean;
 }
 
--- a/packages/gateway/src/codec.ts
+++ b/packages/gateway/src/codec.ts
@@ -50,6 +50,11 @@
   readonly urgency: number | undefined;
   /** Set if the request continues a generation whose memory another engine holds. */
   readonly memory: GenerationMemory | undefined;
+  /**
+   * Id of the last event that the caller has received, if the request resumes its stream without
+   * the memory of another engine. It replaces the caller's own.
+   */
+  readonly lastEventId?: string | undefined;
 }
 
 /** Information that an endpoint gives in the head of an answer. */
--- a/packages/policy/src/engine_placement.ts
+++ b/packages/policy/src/engine_placement.ts
@@ -95,9 +95,14 @@
   readonly record: core.EndpointRecord;
 }
 
+/** Returns the longest time that an engine takes to process a prompt of `tokens`. */
+export function estimatePrefillMs(tokens: number): number {
+  return tokens / PROMPT_TOKENS_PER_MS;
+}
+
 /** Computes the score of prompt tokens that an engine has yet to process. */
 function computePrefillShare(tokens: number): number {
-  return PREFILL_SHARE_PER_S * tokens / PROMPT_TOKENS_PER_MS / 1000;
+  return PREFILL_SHARE_PER_S * estimatePrefillMs(tokens) / 1000;
 }
 
 /** Tracks this process's runs at engines and chooses engines for new runs. */
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -37,4 +37,5 @@
 export * from "./forward_retry.ts";
 export * from "./speed_model.ts";
 export * from "./store_watcher_election.ts";
+export * from "./stream_resumption.ts";
 export * from "./window_budget.ts";
--- a/packages/policy/src/route_table_test.ts
+++ b/packages/policy/src/route_table_test.ts
@@ -17,6 +17,8 @@
     rank: 1,
     targets,
     maxAttempts: 2,
+    isResumable: false,
+    gapAimMs: 0,
     needsKey: true,
   };
 }
