Resend and resume streams of resumable routes

Cause: a stream whose engine crashed, fell silent or answered with a 5xx was lost to its caller, though its route permits to resume it. Change: on a resumable route an attempt that fails before the first event is followed by the whole request at another engine; after it, by one with the id of the last complete event delivered (StreamAttempts). The head sent first stays. Garbled events are not delivered there. Each further send is charged to the retry budget. Other routes: decisions and answers as before.

--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -3,6 +3,8 @@
  * so that a stream that breaks off never delivers a part of an event.
  */
 
+import * as buffer from "node:buffer";
+
 /** A complete event. */
 export interface StreamEvent {
   /** The event as received, with the blank line that ends it. */
@@ -13,6 +15,9 @@
 
 const LINE_FEED = 0x0a;
 const ID_FIELD = /^id: ?(.*?)\r?$/m;
+const DATA_FIELD = /^data(?::|\r?$)/m;
+/** A comment, a field of any name with a value, or a standard field without one; after a BOM. */
+const LINE = /^(?:\xef\xbb\xbf)?(?::.*|[A-Za-z][\w-]*:.*|data|id|event|retry)?$/;
 
 /** Buffers the bytes of a stream until they form a complete event. */
 export class EventSplitter {
@@ -46,6 +51,17 @@
   }
 }
 
+/** Whether the event carries data; a block without any only keeps the connection alive. */
+export function hasData(event: StreamEvent): boolean {
+  return DATA_FIELD.test(event.bytes.toString("latin1"));
+}
+
+/** Whether the bytes are no event in UTF-8 text, as after damage on the way. */
+export function isGarbled(event: StreamEvent): boolean {
+  if (!buffer.isUtf8(event.bytes)) return true;
+  return event.bytes.toString("latin1").split(/\r?\n/).some((line) => !LINE.test(line));
+}
+
 /**
  * Whether an event follows the last one that the caller has received. After a hand-over, the new
  * engine may resend events that the caller has already received.
--- a/packages/gateway/src/event_splitter_test.ts
+++ b/packages/gateway/src/event_splitter_test.ts
@@ -34,3 +34,22 @@
   fastCheck.assert(property, { seed: 20261204 });
   t.end();
 });
+
+// Damaged bytes were passed on as an event, and the stream was resumed after them.
+tap.t.test("an event is garbled if a line has no field name or its text is not UTF-8", (t) => {
+  const cases: [text: string, isGarbled: boolean][] = [
+    ["id: 1\ndata: x\n\n", false],
+    ["\ufeffid: 1\r\ndata\r\n\r\n", false],
+    [": ping\n\n", false],
+    ["own-field: y\ndata: \u00e9\n\n", false],
+    ["id: 1\n\u0000#\n\n", true],
+    ["id: 1\nta: x\nnothing\n\n", true],
+  ];
+  for (const [text, isGarbled] of cases) {
+    const event = { bytes: Buffer.from(text), id: undefined };
+    t.equal(splitters.isGarbled(event), isGarbled, JSON.stringify(text));
+  }
+  const bytes = Buffer.from("id: 1\ndata: \xff\n\n", "latin1");
+  t.equal(splitters.isGarbled({ bytes, id: undefined }), true, "not UTF-8");
+  t.end();
+});
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -14,53 +14,61 @@
 import type * as contexts from "./gateway_context.ts";
 import * as requests from "./open_request.ts";
 import * as problems from "./problems.ts";
-import * as promptParts from "./prompt_parts.ts";
-import * as quarantines from "./quarantine_agent.ts";
+import * as progresses from "./run_progress.ts";
 import * as stops from "./run_stop.ts";
+import type * as attempts from "./stream_attempts.ts";
 import * as upstreams from "./upstream_stream.ts";
 
-/** Failure of a generation before its caller has received anything. */
-export interface UndeliveredFailure {
+/**
+ * Failure of an attempt before its caller has received anything, or at any time if the stream may
+ * be resumed.
+ */
+export interface AttemptFailure {
   readonly outcome: core.FailureOutcome;
   readonly reason: string;
   /** The connection that the request was sent on; undefined if it was not sent. */
   readonly connectionUse: pools.ConnectionUse | undefined;
+  /** The engine's own answer, which may be sent to the caller if no further attempt is made. */
+  readonly answer: attempts.FailureAnswer | undefined;
 }
 
 /** Longest wait for the remaining events of a generation that was stopped for a hand-over. */
 const LAST_EVENTS_TIMEOUT_MS = 150;
 /** Time-out of one memory copy. A leaving engine stops earlier, about 2 s after its notice. */
 const COPY_TIMEOUT_MS = 4_000;
+const SERVER_ERROR_STATUS = 500;
 
 /** Relays one generation, from the first request to an engine to the end of its stream. */
 export class GenerationRelay implements upstreams.UpstreamListener {
   readonly request: requests.OpenRequest;
   readonly routed: requests.RoutedRequest;
   readonly size: policy.GenerationSize;
+  readonly attempts: attempts.StreamAttempts;
   readonly #context: contexts.GatewayContext;
   #upstream: upstreams.UpstreamStream;
-  #deliveredEventCount = 0;
-  #lastEventId: string | undefined;
-  /** Time at which the current engine's first event arrived. */
-  #firstEventAt: number | undefined;
+  readonly #progress: progresses.RunProgress;
+  #isPaused = false;
   /** Time at which the request was sent to the current engine. */
   #sentAt = -Infinity;
-  #lastEventAt: number | undefined;
-  #isSound = false;
-  #isHandingOver = false;
+  /** Engine that the generation is being moved to; its load is recorded. */
+  #moveTarget: core.EndpointRecord | undefined;
   readonly #runStop = new stops.RunStop();
-  #resolveRun: (failure: UndeliveredFailure | undefined) => void = () => {};
+  #resolveRun: (failure: AttemptFailure | undefined) => void = () => {};
 
   constructor(context: contexts.GatewayContext, options: {
     readonly request: requests.OpenRequest;
     readonly routed: requests.RoutedRequest;
     readonly endpoint: core.EndpointRecord;
+    /** Size of what is left of the generation. */
     readonly size: policy.GenerationSize;
+    readonly attempts: attempts.StreamAttempts;
   }) {
     this.#context = context;
     this.request = options.request;
     this.routed = options.routed;
     this.size = options.size;
+    this.attempts = options.attempts;
+    this.#progress = new progresses.RunProgress(context, options);
     this.#upstream = this.#createUpstream(options.endpoint);
   }
 
@@ -71,29 +79,42 @@
 
   /** Whether the generation can be handed over now. */
   get canHandOver(): boolean {
-    return !this.#isHandingOver && !this.#upstream.hasEnded && this.request.end === undefined;
+    return this.#moveTarget === undefined && !this.#upstream.hasEnded &&
+      this.request.end === undefined;
   }
 
   /** Ends the generation if it has not produced output yet. */
   abortUnstarted(reason: string): void {
-    if (this.#deliveredEventCount === 0 && !this.#isHandingOver) this.#upstream.abort(reason);
+    if (this.#progress.eventCount > 0 || this.#moveTarget !== undefined) return;
+    this.#upstream.abort(reason);
+  }
+
+  /** Ends the attempt, whose engine is silent; the failure that `run` returns is then retried. */
+  abortSilent(): void {
+    this.#upstream.abort("silent");
+  }
+
+  /** Changes with each event; undefined while none is expected. */
+  get silenceMark(): number | undefined {
+    return this.#isPaused || !this.canHandOver ? undefined : this.#progress.eventCount;
   }
 
-  /** Number of events sent to the caller. */
+  /** Number of events that this relay has sent to the caller. */
   get deliveredEventCount(): number {
-    return this.#deliveredEventCount;
+    return this.#progress.eventCount;
   }
 
   /**
    * Sends the request and relays the generation's events until the caller's stream has ended.
-   * Returns the failure if the generation fails before the caller has received anything, so that
-   * the request can be retried or answered.
+   * Returns the failure if the generation fails before the caller has received anything, or if its
+   * stream may be resumed, so that the request can be retried or answered.
    */
-  run(): Promise<UndeliveredFailure | undefined> {
+  run(): Promise<AttemptFailure | undefined> {
     this.request.setCancelHandler((reason) => this.#onCancel(reason));
     return new Promise((resolve) => {
       this.#resolveRun = resolve;
-      this.#startUpstream(undefined);
+      const { deliveredEvents, lastEventId } = this.attempts;
+      this.#startUpstream({ lastEventId: deliveredEvents > 0 ? lastEventId : undefined });
     });
   }
 
@@ -109,17 +130,26 @@
 
   onEvents(events: readonly splitters.StreamEvent[]): void {
     const now = this.#context.clock.now();
-    const lastEventId = this.#lastEventId;
-    const undeliveredEvents = events.filter((event) => splitters.isUndelivered(event, lastEventId));
-    if (undeliveredEvents.length === 0 || this.request.end !== undefined) return;
-    this.#deliveredEventCount += undeliveredEvents.length;
-    this.#lastEventId = undeliveredEvents.at(-1)?.id ?? this.#lastEventId;
-    this.#recordProgress(undeliveredEvents.length, now);
+    const firstGarbled = this.#isResumable ? events.findIndex(splitters.isGarbled) : -1;
+    // Ends this attempt, which delivers the events before the garbled one first.
+    if (firstGarbled >= 0) {
+      this.onEvents(events.slice(0, firstGarbled));
+      return this.#upstream.abort("event garbled");
+    }
+    if (this.request.end !== undefined) return;
+    const isFirst = this.attempts.lastEventAt === undefined;
+    const undeliveredEvents = this.attempts.applyEvents(events, now);
+    if (undeliveredEvents.length === 0) return;
+    this.#progress.recordEvents(this.endpoint, undeliveredEvents.length, { isFirst, now });
     const bytes = undeliveredEvents.map((event) => event.bytes);
     if (this.request.writeEvents(bytes.length === 1 ? bytes[0]! : Buffer.concat(bytes))) return;
     const upstream = this.#upstream;
     upstream.pause();
-    this.request.onDrained(() => upstream.resume());
+    this.#isPaused = true;
+    this.request.onDrained(() => {
+      this.#isPaused = false;
+      upstream.resume();
+    });
   }
 
   onUpstreamEnd(end: upstreams.UpstreamEnd): void {
@@ -144,13 +174,13 @@
     this.#recordUpstreamEnd(end);
     if (this.request.end !== undefined) return this.#resolveRun(undefined);
     if (end.type === "whole") {
-      if (this.#deliveredEventCount > 0) this.#recordSoundOutput(this.#context.clock.now());
+      this.#progress.recordEnd(this.#context.clock.now());
       this.request.finishStream({ status: 200, reason: "streamed", outcome: "completed" });
       return this.#resolveRun(undefined);
     }
     if (end.type === "failed") return this.#answerEngineFailure(end);
-    if (end.outcome === "unknown") this.#recordBreak(end);
-    if (!this.request.isHeadSent) return this.#failUndelivered(end.outcome, end.reason);
+    if (end.outcome === "unknown") this.#progress.recordBreak(this.endpoint, end);
+    if (!this.request.isHeadSent || this.#isResumable) return this.#fail(end.outcome, end.reason);
     this.request.abortStream({ status: 200, reason: end.reason, outcome: "unknown" });
     this.#resolveRun(undefined);
   }
@@ -161,7 +191,7 @@
    * generation continues at `target`.
    */
   async moveTo(target: core.EndpointRecord): Promise<boolean> {
-    this.#isHandingOver = true;
+    this.#moveTarget = target;
     const source = this.#upstream;
     this.#context.enginePlacement.recordStart(target.instance, this.request.id, this.size);
     try {
@@ -170,7 +200,7 @@
       if (source.hasEnded) return this.#failMove("ended_before", target, undefined);
       return await this.#stopAndMove(source, target);
     } finally {
-      this.#isHandingOver = false;
+      this.#moveTarget = undefined;
     }
   }
 
@@ -203,11 +233,8 @@
     }
     this.#upstream = this.#createUpstream(nextEndpoint);
     this.#context.getRetryBudget(this.routed.service).recordRetry(this.#context.clock.now());
-    this.#startUpstream({
-      source: source.endpoint.endpoint,
-      handle,
-      lastEventId: this.#lastEventId,
-    });
+    const { lastEventId } = this.attempts;
+    this.#startUpstream({ memory: { source: source.endpoint.endpoint, handle, lastEventId } });
     this.#recordMove(finalCopy.isOk() ? "moved" : "continued_at_source", target, { handle });
     return finalCopy.isOk();
   }
@@ -251,7 +278,8 @@
     target: core.EndpointRecord,
     errorType: string | undefined,
   ): boolean {
-    if (this.endpoint.instance !== target.instance) {
+    // A failed attempt has removed it already, and the next one may run at the same engine.
+    if (this.#moveTarget !== undefined && this.endpoint.instance !== target.instance) {
       this.#context.enginePlacement.recordEnd(target.instance, this.request.id);
     }
     this.#recordMove(outcome, target, { errorType });
@@ -270,7 +298,7 @@
       error: detail.errorType,
       memory: detail.handle,
       target: target.instance,
-      events: this.#deliveredEventCount,
+      events: this.#progress.eventCount,
     });
   }
 
@@ -279,15 +307,21 @@
       endpoint,
       request: this.request,
       codec: this.#context.codec,
-      hasDelivered: this.#deliveredEventCount > 0,
+      hasDelivered: this.#progress.eventCount > 0,
       listener: this,
     });
   }
 
-  #startUpstream(memory: codec.GenerationMemory | undefined): void {
+  #startUpstream(options: {
+    /** Set if the generation continues with its memory. */
+    readonly memory?: codec.GenerationMemory;
+    /** Set if the stream is resumed without memory. */
+    readonly lastEventId?: string | undefined;
+  }): void {
+    const { memory, lastEventId } = options;
     const upstream = this.#upstream;
     const { endpoint } = upstream;
-    this.#firstEventAt = undefined;
+    this.#progress.recordStart();
     this.#sentAt = this.#context.clock.now();
     this.request.instance = endpoint.instance;
     if (memory === undefined) {
@@ -299,6 +333,7 @@
       workspace: this.routed.workspace,
       urgency: this.routed.rank,
       memory,
+      lastEventId,
     });
     const wireRequest = this.request.createWireRequest(headers);
     upstream.start(this.#context.pool.send(endpoint.endpoint, wireRequest, upstream));
@@ -316,16 +351,32 @@
   }
 
   #answerEngineFailure(end: upstreams.UpstreamEnd & { readonly type: "failed" }): void {
-    if (problems.isNotRunStatus(end.status)) {
-      return this.#failUndelivered("unknown", `status_${end.status}`);
+    const { isHeadSent } = this.request;
+    const reason = `status_${end.status}`;
+    if (problems.isNotRunStatus(end.status)) return this.#fail("unknown", reason);
+    if (this.#isResumable && (isHeadSent || end.status >= SERVER_ERROR_STATUS)) {
+      return this.#fail("failed", reason, isHeadSent ? undefined : end);
     }
-    const reason = this.request.isHeadSent ? "engine_failed" : "answered";
-    this.request.sendAnswer(end, { status: end.status, reason, outcome: "failed" });
+    this.request.sendAnswer(end, {
+      status: end.status,
+      reason: isHeadSent ? "engine_failed" : "answered",
+      outcome: "failed",
+    });
     this.#resolveRun(undefined);
   }
 
-  #failUndelivered(outcome: core.FailureOutcome, reason: string): void {
-    this.#resolveRun({ outcome, reason, connectionUse: this.#upstream.connectionUse });
+  get #isResumable(): boolean {
+    return this.routed.route.isResumable;
+  }
+
+  #fail(outcome: core.FailureOutcome, reason: string, answer?: attempts.FailureAnswer): void {
+    const target = this.#moveTarget;
+    if (target !== undefined && target.instance !== this.endpoint.instance) {
+      this.#context.enginePlacement.recordEnd(target.instance, this.request.id);
+      this.#moveTarget = undefined;
+    }
+    const { connectionUse } = this.#upstream;
+    this.#resolveRun({ outcome, reason, connectionUse, answer });
   }
 
   #recordUpstreamEnd(end: upstreams.UpstreamEnd): void {
@@ -340,48 +391,4 @@
       this.#context.publishChanges(this.#context.directory.recordMisdirected(instance, now));
     }
   }
-
-  #recordBreak(end: upstreams.UpstreamEnd & { readonly type: "broken" }): void {
-    const { clock, logger, metrics } = this.#context;
-    const outputMs = this.#firstEventAt === undefined
-      ? undefined
-      : clock.now() - this.#firstEventAt;
-    metrics.recordBrokenGeneration(outputMs === undefined ? "before_output" : "during_output");
-    logger.write("stream_broken", {
-      request: this.request.id,
-      instance: this.endpoint.instance,
-      reason: end.reason,
-      events: this.#deliveredEventCount,
-      output_ms: outputMs === undefined ? undefined : Math.round(outputMs),
-      parts: promptParts.formatPromptParts(this.request),
-    });
-    if (end.cause !== "connection_lost") return;
-    const suspect = promptParts.createSuspect(this.request);
-    this.#context.quarantineAgent.recordBreak({ endpoint: this.endpoint, outputMs, suspect });
-  }
-
-  /** Records once that the prompt has produced output and its engine has not crashed. */
-  #recordSoundOutput(now: number): void {
-    if (this.#isSound) return;
-    this.#isSound = true;
-    const parts = promptParts.listSharedParts(this.request);
-    this.#context.quarantineAgent.recordSoundOutput(parts, now);
-  }
-
-  #recordProgress(eventCount: number, now: number): void {
-    const profile = this.#context.getEngineProfile(this.routed.service);
-    const tokensPerEvent = profile?.tokensPerEvent ?? 1;
-    if (this.#lastEventAt === undefined) {
-      const labels = requests.createRequestLabels(this.routed);
-      this.#context.metrics.recordFirstToken(labels, now - this.request.arrivedAt);
-    }
-    const elapsedMs = this.#lastEventAt === undefined ? undefined : now - this.#lastEventAt;
-    this.#firstEventAt ??= now;
-    if (now - this.#firstEventAt >= quarantines.SOUND_OUTPUT_MS) this.#recordSoundOutput(now);
-    this.#lastEventAt = now;
-    this.#context.enginePlacement.recordProgress(this.endpoint.instance, this.request.id, {
-      generatedTokens: this.#deliveredEventCount * tokensPerEvent,
-      tokenMs: elapsedMs === undefined ? undefined : elapsedMs / (eventCount * tokensPerEvent),
-    });
-  }
 }
--- a/packages/gateway/src/retry_decision.ts
+++ b/packages/gateway/src/retry_decision.ts
@@ -39,7 +39,25 @@
     maxAttempts: routed.route.maxAttempts,
     answerBy: request.answerBy,
   }, now);
-  const mayRetry = retryDecision.type === "again" &&
+  return applyRetryDecision(context, request, { ...options, decision: retryDecision });
+}
+
+/**
+ * Charges a decided retry to the budget and logs the end of the attempt with what follows. Returns
+ * false if no retry was decided or the budget is exhausted.
+ */
+export function applyRetryDecision(
+  context: contexts.GatewayContext,
+  request: requests.OpenRequest,
+  options: {
+    readonly routed: requests.RoutedRequest;
+    readonly attempt: Omit<FailedAttempt, "ranAttempts" | "refusedAttempts">;
+    readonly decision: policy.RetryDecision | policy.StreamStep;
+  },
+): boolean {
+  const { routed, attempt, decision } = options;
+  const now = context.clock.now();
+  const mayRetry = decision.type !== "stop" &&
     context.getRetryBudget(routed.service).takeRetry(now, context.getProcessCount());
   context.logger.write("send_ended", {
     request: request.id,
@@ -49,14 +67,15 @@
     carried: attempt.connectionUse?.carriedRequests,
     outcome: attempt.outcome,
     reason: attempt.reason,
-    next: retryDecision.type === "stop"
-      ? retryDecision.reason
+    next: decision.type === "stop"
+      ? decision.reason
       : mayRetry
-      ? "again"
+      ? decision.type
       : "budget_exhausted",
   });
   if (mayRetry) {
-    context.metrics.recordRetry(routed.route.kind === "streaming" ? "generation" : "call");
+    const kind = routed.route.kind === "streaming" ? "generation" : "call";
+    context.metrics.recordRetry(decision.type === "resume" ? "resumption" : kind);
   }
   return mayRetry;
 }
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -11,6 +11,8 @@
 import * as problems from "./problems.ts";
 import * as promptParts from "./prompt_parts.ts";
 import * as retries from "./retry_decision.ts";
+import * as silences from "./silence_watcher.ts";
+import * as streamAttempts from "./stream_attempts.ts";
 
 export interface StreamForwarderOptions {
   readonly context: contexts.GatewayContext;
@@ -19,11 +21,15 @@
 }
 
 /** Why a request was not placed at an engine. */
-type NoEngineReason = "caller_gone" | "no_engine_in_time" | "prompt_quarantined";
+type NoEngineReason =
+  | "caller_gone"
+  | "no_engine_in_time"
+  | "no_other_engine"
+  | "prompt_quarantined";
 
 interface EngineWaiter {
   readonly openRequest: requests.OpenRequest;
-  /** Engines that have refused the request. */
+  /** Engines that have refused or failed the request. */
   readonly avoid: ReadonlySet<core.InstanceId>;
   readonly resolve: (endpoint: core.EndpointRecord | NoEngineReason) => void;
 }
@@ -40,12 +46,16 @@
  */
 const PLACEMENT_INTERVAL_MS = 25;
 
-/** Places generations at engines. Retries a generation only if the engine has not run it. */
+/**
+ * Places generations at engines. Retries a generation only if the engine has not run it or its
+ * stream may be resumed.
+ */
 export class StreamForwarder {
   readonly #options: StreamForwarderOptions;
   readonly #relays = new Set<relays.GenerationRelay>();
   readonly #queue: policy.GenerationQueue;
   readonly #waiters = new Map<core.RequestId, EngineWaiter>();
+  readonly #silenceWatcher: silences.SilenceWatcher;
   #placementTimer: NodeJS.Timeout | undefined;
 
   constructor(options: StreamForwarderOptions) {
@@ -53,6 +63,10 @@
     this.#queue = new policy.GenerationQueue(() =>
       options.context.enginePlacement.getFastestTokenMs()
     );
+    this.#silenceWatcher = new silences.SilenceWatcher({
+      context: options.context,
+      chooseEngine: (relay, now) => this.#chooseOtherEngine(relay, now),
+    });
   }
 
   /** Relays of the generations that are placed at an engine and have not ended. */
@@ -68,45 +82,82 @@
   /** Places and relays `request`, and retries it as needed; resolves when it has ended. */
   async serve(request: requests.OpenRequest, routed: requests.RoutedRequest): Promise<void> {
     const { context } = this.#options;
-    const size = request.head.generation ?? DEFAULT_GENERATION_SIZE;
+    const attempts = new streamAttempts.StreamAttempts();
     context.getRetryBudget(routed.service).recordRequest(context.clock.now());
-    const generation = createWaitingGeneration(request, routed, size);
-    const triedInstances = new Set<core.InstanceId>();
-    let refusedAttempts = 0;
     for (;;) {
-      const endpoint = await this.#acquireEngine(request, generation, triedInstances);
-      if (typeof endpoint === "string") return this.#refuse(request, endpoint);
+      const generation = this.#createWaiting(request, routed, attempts);
+      const endpoint = attempts.takeReplacement() ??
+        await this.#acquireEngine(request, routed, { generation, attempts });
+      if (typeof endpoint === "string") return this.#refuse(request, endpoint, attempts);
       if (request.end !== undefined) {
         return context.enginePlacement.recordEnd(endpoint.instance, request.id);
       }
-      const failure = await this.#relay(request, routed, { endpoint, size, generation });
+      const failure = await this.#relay(request, routed, { endpoint, generation, attempts });
       if (request.end !== undefined || failure === undefined) return;
-      if (failure.outcome !== "not_run") return this.#answerFailure(request, failure);
-      refusedAttempts += 1;
-      triedInstances.add(endpoint.instance);
-      const attempt = { ...failure, endpoint, ranAttempts: 0, refusedAttempts };
-      if (!retries.decideRetry(context, request, { routed, attempt })) {
-        return this.#refuse(request, failure.reason);
+      if (attempts.replacement !== undefined) continue;
+      const mayRepeat = failure.outcome === "not_run" || routed.route.isResumable;
+      if (!mayRepeat || !this.#decideRetry(request, routed, { failure, endpoint, attempts })) {
+        return this.#refuse(request, failure.reason, attempts);
       }
     }
   }
 
+  #decideRetry(
+    request: requests.OpenRequest,
+    routed: requests.RoutedRequest,
+    ended: {
+      readonly failure: relays.AttemptFailure;
+      readonly endpoint: core.EndpointRecord;
+      readonly attempts: streamAttempts.StreamAttempts;
+    },
+  ): boolean {
+    const { context } = this.#options;
+    const { failure, endpoint, attempts } = ended;
+    const decision = attempts.chooseStep(request, routed.route, {
+      outcome: failure.outcome,
+      isRunning: false,
+      now: context.clock.now(),
+    });
+    const attempt = { ...failure, endpoint };
+    return retries.applyRetryDecision(context, request, { routed, attempt, decision });
+  }
+
   /** Waits until an engine has room, the deadline cannot be met or the caller disconnects. */
   async #acquireEngine(
     request: requests.OpenRequest,
-    generation: policy.WaitingGeneration,
-    avoid: ReadonlySet<core.InstanceId>,
+    routed: requests.RoutedRequest,
+    options: {
+      readonly generation: policy.WaitingGeneration;
+      readonly attempts: streamAttempts.StreamAttempts;
+    },
   ): Promise<core.EndpointRecord | NoEngineReason> {
     const { context } = this.#options;
+    const { generation, attempts } = options;
+    const avoid = attempts.triedInstances;
     const now = context.clock.now();
+    const isRepeated = attempts.ranAttempts > 0;
+    if (isRepeated && !this.#hasOtherEngine(routed.service, avoid)) return "no_other_engine";
     if (this.#isQuarantined(request, now)) return "prompt_quarantined";
     if (this.#queue.isTooLate(generation, now)) return "no_engine_in_time";
     return await new Promise((resolve) => {
-      this.#waiters.set(generation.request, { openRequest: request, avoid, resolve });
+      // A repeated request is of no use once its caller has abandoned the stream.
+      const timer = isRepeated
+        ? setTimeout(
+          () => this.#dropWaiter(generation.request, "no_engine_in_time"),
+          attempts.getAbandonAt(request, routed.route) - now,
+        )
+        : undefined;
+      this.#waiters.set(generation.request, {
+        openRequest: request,
+        avoid,
+        resolve: (endpoint) => {
+          clearTimeout(timer);
+          resolve(endpoint);
+        },
+      });
       this.#queue.addGeneration(generation, now);
       request.setCancelHandler((reason) => {
-        this.#queue.removeGeneration(generation.request);
-        this.#settleWaiter(
+        this.#dropWaiter(
           generation.request,
           reason === "timeout" ? "no_engine_in_time" : "caller_gone",
         );
@@ -119,8 +170,7 @@
   applyQuarantine(now: number): void {
     for (const [id, waiter] of this.#waiters) {
       if (!this.#isQuarantined(waiter.openRequest, now)) continue;
-      this.#queue.removeGeneration(id);
-      this.#settleWaiter(id, "prompt_quarantined");
+      this.#dropWaiter(id, "prompt_quarantined");
     }
     for (const relay of this.#relays) {
       if (this.#isQuarantined(relay.request, now)) relay.abortUnstarted("prompt_quarantined");
@@ -164,15 +214,37 @@
     }, PLACEMENT_INTERVAL_MS * jitter);
   }
 
+  #hasOtherEngine(service: core.ServiceName, tried: ReadonlySet<core.InstanceId>): boolean {
+    return this.#options.context.directory.listUsableEndpoints(service)
+      .some((record) => !tried.has(record.instance));
+  }
+
+  #dropWaiter(request: core.RequestId, reason: NoEngineReason): void {
+    this.#queue.removeGeneration(request);
+    this.#settleWaiter(request, reason);
+  }
+
   #settleWaiter(request: core.RequestId, result: core.EndpointRecord | NoEngineReason): void {
     const waiter = this.#waiters.get(request);
     this.#waiters.delete(request);
     waiter?.resolve(result);
   }
 
+  /** Chooses an engine that can run the rest of the relayed generation at once. */
+  #chooseOtherEngine(
+    relay: relays.GenerationRelay,
+    now: number,
+  ): core.EndpointRecord | undefined {
+    const { request, routed, attempts, endpoint } = relay;
+    if (this.#queue.size > 0 || this.#isQuarantined(request, now)) return undefined;
+    const avoid = new Set([...attempts.triedInstances, endpoint.instance]);
+    return this.#chooseEngine(this.#createWaiting(request, routed, attempts), now, avoid);
+  }
+
   #chooseEngine(
     generation: policy.WaitingGeneration,
     now: number,
+    avoid = this.#waiters.get(generation.request)?.avoid,
   ): core.EndpointRecord | undefined {
     const { context } = this.#options;
     return context.enginePlacement.chooseEngine(
@@ -181,7 +253,7 @@
       {
         now,
         zone: context.settings.zone,
-        avoid: this.#waiters.get(generation.request)?.avoid ?? new Set(),
+        avoid: avoid ?? new Set(),
         random: context.random,
         rank: generation.rank,
         reportLagMs: context.getReportLagMs(),
@@ -189,39 +261,56 @@
     );
   }
 
-  /** Runs one attempt. Returns its failure if it fails before the caller has received anything. */
+  /** Runs one attempt and records its failure, if it may be followed by another one. */
   async #relay(
     request: requests.OpenRequest,
     routed: requests.RoutedRequest,
     options: {
       readonly endpoint: core.EndpointRecord;
-      readonly size: policy.GenerationSize;
       readonly generation: policy.WaitingGeneration;
+      readonly attempts: streamAttempts.StreamAttempts;
     },
-  ): Promise<relays.UndeliveredFailure | undefined> {
+  ): Promise<relays.AttemptFailure | undefined> {
     const { context } = this.#options;
-    const { generation } = options;
+    const { endpoint, generation, attempts } = options;
+    const { size } = generation;
     const now = context.clock.now();
     context.logger.write("engine_chosen", {
       request: request.id,
-      instance: options.endpoint.instance,
+      instance: endpoint.instance,
       waited_ms: Math.round(now - request.arrivedAt),
       waiting: this.#queue.size,
       parts: promptParts.formatPromptParts(request),
     });
-    const relay = new relays.GenerationRelay(context, { request, routed, ...options });
+    const relay = new relays.GenerationRelay(context, {
+      request,
+      routed,
+      endpoint,
+      size,
+      attempts,
+    });
     this.#relays.add(relay);
+    this.#silenceWatcher.addRelay(relay);
     this.#queue.recordStart(generation, now);
     try {
-      return await relay.run();
+      const failure = await relay.run();
+      if (failure !== undefined) attempts.recordFailure(failure, [endpoint, relay.endpoint]);
+      return failure;
     } finally {
+      this.#silenceWatcher.removeRelay(relay);
       this.#relays.delete(relay);
       this.#queue.recordEnd(generation);
       this.#placeWaiting();
     }
   }
 
-  #refuse(request: requests.OpenRequest, reason: string): void {
+  /** Answers a request that no further attempt is made at. */
+  #refuse(
+    request: requests.OpenRequest,
+    reason: string,
+    attempts: streamAttempts.StreamAttempts,
+  ): void {
+    if (attempts.outcome !== "not_run") return this.#answerFailure(request, reason, attempts);
     const { quarantineAgent, clock, random } = this.#options.context;
     const now = clock.now();
     const quarantined = quarantineAgent.findQuarantined(promptParts.listSharedParts(request), now);
@@ -237,29 +326,55 @@
     }));
   }
 
-  #answerFailure(request: requests.OpenRequest, failure: relays.UndeliveredFailure): void {
+  #answerFailure(
+    request: requests.OpenRequest,
+    reason: string,
+    attempts: streamAttempts.StreamAttempts,
+  ): void {
+    const { outcome, failureAnswer } = attempts;
+    if (failureAnswer !== undefined) {
+      const { status } = failureAnswer;
+      return request.sendAnswer(failureAnswer, { status, reason: "answered", outcome: "failed" });
+    }
     const isLate = request.getRemainingMs(this.#options.context.clock.now()) <= 0;
-    const status = policy.chooseFailureStatus(failure.outcome, { isLate });
-    request.sendProblem(problems.createRequestProblem(status, failure.reason, {
-      outcome: failure.outcome,
+    const status = policy.chooseFailureStatus(outcome, { isLate });
+    request.sendProblem(problems.createRequestProblem(status, reason, {
+      outcome,
       detail: "the engine's answer was lost",
     }));
   }
+
+  /** Describes what is left of a generation after the attempts so far. */
+  #createWaiting(
+    request: requests.OpenRequest,
+    routed: requests.RoutedRequest,
+    attempts: streamAttempts.StreamAttempts,
+  ): policy.WaitingGeneration {
+    const size = request.head.generation ?? DEFAULT_GENERATION_SIZE;
+    const profile = this.#options.context.getEngineProfile(routed.service);
+    const generatedTokens = attempts.deliveredEvents * (profile?.tokensPerEvent ?? 1);
+    return createWaitingGeneration(request, routed, {
+      size: generatedTokens > 0 ? policy.computeRemainingSize(size, generatedTokens) : size,
+      targetBy: attempts.ranAttempts > 0
+        ? attempts.getAbandonAt(request, routed.route)
+        : request.arrivedAt + routed.route.targetLatencyMs,
+    });
+  }
 }
 
 function createWaitingGeneration(
   request: requests.OpenRequest,
   routed: requests.RoutedRequest,
-  size: policy.GenerationSize,
+  options: { readonly size: policy.GenerationSize; readonly targetBy: number },
 ): policy.WaitingGeneration {
   return {
     request: request.id,
     service: routed.service,
-    size,
+    size: options.size,
     rank: routed.rank,
     workspace: routed.workspace,
     arrivedAt: request.arrivedAt,
-    targetBy: request.arrivedAt + routed.route.targetLatencyMs,
+    targetBy: options.targetBy,
     // A new configuration or a planned stop lowers the deadline of a request that waits.
     get answerBy() {
       return request.answerBy;
--- a/packages/policy/src/stream_resumption.ts
+++ b/packages/policy/src/stream_resumption.ts
@@ -22,7 +22,7 @@
 /** What follows an attempt; the retry budget is checked separately. */
 export type StreamStep =
   /** The request is sent in full. */
-  | { readonly type: "resend" }
+  | { readonly type: "again" }
   /** The stream is resumed after the last event that the caller has received. */
   | { readonly type: "resume" }
   | {
@@ -62,7 +62,7 @@
   const kind = attempt.isResumable ? "idempotent" : "streaming";
   const retryDecision = forwardRetry.chooseForwardRetry({ ...attempt, kind }, now);
   if (retryDecision.type === "stop") return retryDecision;
-  if (attempt.deliveredEvents === 0) return { type: "resend" };
+  if (attempt.deliveredEvents === 0) return { type: "again" };
   if (!attempt.isResumable) return { type: "stop", reason: "not_repeatable" };
   return attempt.hasLastEventId ? { type: "resume" } : { type: "stop", reason: "no_event_id" };
 }
--- a/packages/policy/src/stream_resumption_test.ts
+++ b/packages/policy/src/stream_resumption_test.ts
@@ -16,8 +16,8 @@
 // A second run of a stream that must run once, or events twice or missing after a resumption.
 tap.t.test("a stream is sent again before its first event and resumed after it", (t) => {
   const cases: [name: string, Partial<resumption.EndedStreamAttempt>, step: string][] = [
-    ["reset before an event", {}, "resend"],
-    ["a 5xx before an event", { outcome: "failed" }, "resend"],
+    ["reset before an event", {}, "again"],
+    ["a 5xx before an event", { outcome: "failed" }, "again"],
     ["reset after events", DELIVERED, "resume"],
     ["refused resumption", { ...DELIVERED, outcome: "not_run", refusedAttempts: 1 }, "resume"],
     ["last event without id", { ...DELIVERED, hasLastEventId: false }, "no_event_id"],
@@ -28,7 +28,7 @@
     [
       "not resumable, refused",
       { isResumable: false, outcome: "not_run", ranAttempts: 0 },
-      "resend",
+      "again",
     ],
     [
       "not resumable, moved and refused",
