--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -59,6 +59,27 @@
     to: "return options.end;",
     test: "platform/dist/moved_streams_test.js",
   },
+  {
+    name: "a resumed request names the last event that the caller has received",
+    file: "packages/gateway/src/generation_relay.ts",
+    from: "lastEventId: deliveredEvents > 0 ? lastEventId : undefined",
+    to: "lastEventId: deliveredEvents < 0 ? lastEventId : undefined",
+    test: "platform/dist/resumed_streams_test.js",
+  },
+  {
+    name: "garbled events of a resumable stream are not delivered",
+    file: "packages/gateway/src/generation_relay.ts",
+    from: "if (firstGarbled >= 0) {",
+    to: "if (firstGarbled < -1) {",
+    test: "platform/dist/resumed_streams_test.js",
+  },
+  {
+    name: "a request that may have run is not refused with 503 when a further engine refuses it",
+    file: "packages/gateway/src/stream_forwarder.ts",
+    from: 'if (attempts.outcome !== "not_run") return',
+    to: 'if (attempts.outcome === "failed") return',
+    test: "platform/dist/resumed_streams_test.js",
+  },
   {
     name: "a call without a caller ends at its deadline",
     file: "packages/gateway/src/open_request.ts",
--- a/packages/bench/src/policy_mutations.ts
+++ b/packages/bench/src/policy_mutations.ts
@@ -60,6 +60,27 @@
     to: "if (attempt.ranAttempts > 99) {",
     test: "packages/policy/dist/forward_retry_test.js",
   },
+  {
+    name: "a stream with events is resumed, not sent again",
+    file: "packages/policy/src/stream_resumption.ts",
+    from: 'if (attempt.deliveredEvents === 0) return { type: "again" };',
+    to: 'if (attempt.deliveredEvents >= 0) return { type: "again" };',
+    test: "packages/policy/dist/stream_resumption_test.js",
+  },
+  {
+    name: "a silent attempt is replaced only while its caller waits on",
+    file: "packages/policy/src/stream_resumption.ts",
+    from: "return stream.leftMs >= neededMs;",
+    to: "return neededMs >= 0;",
+    test: "packages/policy/dist/stream_resumption_test.js",
+  },
+  {
+    name: "a start stated after a request was sent is not the one it was sent to",
+    file: "packages/policy/src/engine_starts.ts",
+    from: "statedAt < sentAt",
+    to: "statedAt < Infinity && sentAt > 0",
+    test: "packages/policy/dist/engine_starts_test.js",
+  },
   {
     name: "status 503 is only returned for requests that have not run",
     file: "packages/policy/src/forward_retry.ts",
