--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -59,7 +59,7 @@
 /** Whether the bytes are no event in UTF-8 text, as after damage on the way. */
 export function isGarbled(event: StreamEvent): boolean {
   if (!buffer.isUtf8(event.bytes)) return true;
-  return event.bytes.toString("latin1").split(/\r?\n/).some((line) => !LINE.test(line));
+  return event.bytes.toString("latin1").split(/\r\n|\r|\n/).some((line) => !LINE.test(line));
 }
 
 /**
--- a/packages/gateway/src/event_splitter_test.ts
+++ b/packages/gateway/src/event_splitter_test.ts
@@ -41,6 +41,7 @@
     ["id: 1\ndata: x\n\n", false],
     ["\ufeffid: 1\r\ndata\r\n\r\n", false],
     [": ping\n\n", false],
+    ["id: 1\rdata: x\n\n", false],
     ["own-field: y\ndata: \u00e9\n\n", false],
     ["id: 1\n\u0000#\n\n", true],
     ["id: 1\nta: x\nnothing\n\n", true],
