--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -263,6 +263,7 @@
       }),
       evacuationAgent: new evacuations.EvacuationAgent({ logger }),
       engineControl: this.#options.engineControl,
+      engineStarts: new policy.EngineStarts(),
       getRetryBudget: (service) => this.#getRetryBudget(service),
       getProcessCount: () => Math.max(MIN_PROCESS_COUNT, this.#peerAgent.knownPeerCount + 1),
       getReportLagMs: () => this.#peerAgent.reportLagMs,
