--- a/packages/policy/src/route_table.ts
+++ b/packages/policy/src/route_table.ts
@@ -45,7 +45,8 @@
   return route.targets.at(-1)?.service;
 }
 
-function normalizeHost(host: string): string {
+/** Returns the host by which routes are found: without port, in lower case. */
+export function normalizeHost(host: string): string {
   const colonIndex = host.lastIndexOf(":");
   const hostName = colonIndex > host.lastIndexOf("]") ? host.slice(0, colonIndex) : host;
   return hostName.toLowerCase();
