--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -3,6 +3,7 @@
 export * from "./call_scheduler.ts";
 export * from "./concurrency_limit.ts";
 export * from "./config_check.ts";
+export * from "./config_comparison.ts";
 export * from "./config_register.ts";
 export * from "./crash_attribution.ts";
 export * from "./drain_schedule.ts";
