Lines of a JSON document; the parser's limit on heads is exported

Cause: the check of a configuration names lines and the server's limit. Change: core.createLineFinder; gateway.PARSER_MAX_HEADER_BYTES.

--- a/packages/core/src/document.ts
+++ b/packages/core/src/document.ts
@@ -73,6 +73,19 @@
   return JSON.stringify(yaml.parse(text));
 }
 
+/**
+ * Returns a function that finds the line of the value at a path of the JSON document `text`. It
+ * returns `undefined` if the lines cannot be determined, such as where a key is repeated.
+ */
+export function createLineFinder(
+  text: string,
+): (path: readonly (string | number)[]) => number | undefined {
+  const lines = new yaml.LineCounter();
+  const document = yaml.parseDocument(text, { lineCounter: lines, uniqueKeys: true });
+  if (document.errors.length > 0) return () => undefined;
+  return (path) => findLine(document, lines, path);
+}
+
 /** Formats a problem as `source:line: path: message`. */
 export function formatDocumentProblem(problem: DocumentProblem): string {
   const path = problem.path === "" ? "" : `${problem.path}: `;
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -31,7 +31,7 @@
 }
 
 /** Limit that the HTTP parser sets on a request head; the configured limit is checked later. */
-const PARSER_MAX_HEADER_BYTES = 64 * 1024;
+export const PARSER_MAX_HEADER_BYTES = 64 * 1024;
 /** Time limit for receiving a complete request; callers time out long before it. */
 const REQUEST_TIMEOUT_MS = 30_000;
 /** Time-outs of callers' connections until a configuration is in force. */
