--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -1,5 +1,6 @@
 /** Mutations of the source code, each with the guarantee it breaks and the test that must fail. */
 
+import * as configCheckMutations from "./config_check_mutations.ts";
 import * as evacuationMutations from "./evacuation_mutations.ts";
 import * as policyMutations from "./policy_mutations.ts";
 
@@ -19,6 +20,7 @@
 export const MUTATIONS: readonly Mutation[] = [
   ...policyMutations.POLICY_MUTATIONS,
   ...evacuationMutations.EVACUATION_MUTATIONS,
+  ...configCheckMutations.CONFIG_CHECK_MUTATIONS,
   {
     name: "a request goes on a connection at most once",
     file: "packages/gateway/src/connection_pool.ts",
