--- a/packages/policy/src/config_check.ts
+++ b/packages/policy/src/config_check.ts
@@ -12,8 +12,6 @@
 export interface DeclaredRoute extends core.Route {
   /** Host as written, possibly with upper-case letters and a port. */
   readonly declaredHost: string;
-  /** Whether a broken stream may continue at another endpoint. */
-  readonly isResumable: boolean;
 }
 
 /** A workspace with its API keys. */
--- a/packages/policy/src/config_check_test.ts
+++ b/packages/policy/src/config_check_test.ts
@@ -29,6 +29,7 @@
     maxAttempts: 2,
     needsKey: true,
     isResumable: false,
+    gapAimMs: 0,
     ...changes,
   };
 }
--- a/packages/policy/src/config_comparison_test.ts
+++ b/packages/policy/src/config_comparison_test.ts
@@ -16,6 +16,7 @@
   maxAttempts: 2,
   needsKey: true,
   isResumable: false,
+  gapAimMs: 0,
 };
 const OTHER_ROUTE = { ...ROUTE, pathPrefix: "/other/" };
 const SERVICE = createService("x");
