Shortened time-outs also end calls without a caller

A time-out that was shortened afterwards, by a configuration or a planned stop, cleared the timer of such a call and did not set it again: the call then kept its connection until the endpoint closed it.

The timer is now set for them too.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -59,6 +59,13 @@
     to: "clearTimeout(this.#deadlineTimer);",
     test: "platform/dist/stuck_calls_test.js",
   },
+  {
+    name: "a call without a caller follows a shortened time-out",
+    file: "packages/gateway/src/open_request.ts",
+    from: "this.end !== undefined && !this.isCallerGone",
+    to: "this.end !== undefined",
+    test: "platform/dist/stuck_calls_test.js",
+  },
   {
     name: "a failure after the head of an answer breaks the stream off",
     file: "packages/gateway/src/open_request.ts",
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -105,7 +105,8 @@
   updateAnswerBy(answerBy: number, now: number): void {
     this.answerBy = answerBy;
     clearTimeout(this.#deadlineTimer);
-    if (this.end !== undefined) return;
+    // A call that goes on without its caller still needs its deadline.
+    if (this.end !== undefined && !this.isCallerGone) return;
     this.#deadlineTimer = setTimeout(
       () => this.#cancelHandler?.("timeout"),
       Math.max(0, answerBy - now),
