End an attempt early only if its retry can be sent

An attempt at an idempotent call was ended at half of its time whenever attempts were left, also if there was no other endpoint or no retry budget: the caller of a slow single endpoint got a 502 although the answer would have come in time.

packages/policy/early_retry decides it at that moment from the endpoints, the budget and the attempts left; an attempt that goes on is checked again at half of what is left. early_retry_test (platform: one server that answers after 1.1 s of 1.5 s) failed before and passes.

--- a/packages/bench/src/policy_mutations.ts
+++ b/packages/bench/src/policy_mutations.ts
@@ -60,6 +60,13 @@
     to: "if (attempt.ranAttempts > 99) {",
     test: "packages/policy/dist/forward_retry_test.js",
   },
+  {
+    name: "an attempt keeps its time if its retry cannot be sent",
+    file: "packages/policy/src/early_retry.ts",
+    from: "return means.hasEndpoint && means.hasBudget && canRetry(attempt, now);",
+    to: "return canRetry(attempt, now);",
+    test: "packages/policy/dist/early_retry_test.js",
+  },
   {
     name: "status 503 is only returned for requests that have not run",
     file: "packages/policy/src/forward_retry.ts",
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -50,8 +50,6 @@
 
 /** Maximum size of an answer's body; an attempt with a larger answer fails as broken. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-/** Share of the time left until the deadline that an attempt may take if a retry may follow. */
-const ATTEMPT_TIME_SHARE = 0.5;
 const SERVER_ERROR_STATUS = 500;
 
 /** Forwards calls to endpoints and retries them within the retry budget. */
@@ -118,10 +116,6 @@
     history.triedInstances.add(endpoint.instance);
     request.instance = endpoint.instance;
     const startedAt = this.#context.clock.now();
-    const remainingMs = request.getRemainingMs(startedAt);
-    const mayRetry = routed.route.kind === "idempotent" &&
-      history.ranAttempts + 1 < routed.route.maxAttempts;
-    const attemptTimeoutMs = mayRetry ? remainingMs * ATTEMPT_TIME_SHARE : Infinity;
     this.#context.callPlacement.recordStart(endpoint.instance, startedAt);
     this.#context.limitAgent.recordSend(endpoint.instance, startedAt);
     return new Promise((resolve) => {
@@ -150,9 +144,16 @@
           resolve(this.#convertServerError(routed, history, { result, connectionUse }));
         },
       });
-      const timer = Number.isFinite(attemptTimeoutMs)
-        ? setTimeout(() => call.abort("silent"), attemptTimeoutMs)
-        : undefined;
+      const scheduleCheck = (): NodeJS.Timeout | undefined => {
+        const attempt = createOpenAttempt(request, routed, history);
+        const waitMs = policy.computeEarlyRetryWaitMs(attempt, this.#context.clock.now());
+        if (waitMs === undefined) return undefined;
+        return setTimeout(() => {
+          if (this.#isRetryDue(request, routed, history)) call.abort("silent");
+          else timer = scheduleCheck();
+        }, waitMs);
+      };
+      let timer = scheduleCheck();
       request.setCancelHandler((reason) => {
         if (reason === "timeout") return call.abort("timeout");
         // A non-idempotent call continues without its caller, so that it runs to a definite end.
@@ -170,6 +171,21 @@
     });
   }
 
+  /** Whether the open attempt of `request` is to end now for a retry elsewhere. */
+  #isRetryDue(
+    request: requests.OpenRequest,
+    routed: requests.RoutedRequest,
+    history: AttemptHistory,
+  ): boolean {
+    const now = this.#context.clock.now();
+    const budget = this.#context.getRetryBudget(routed.service);
+    const means = {
+      hasEndpoint: this.#chooseEndpoint(routed, history) !== undefined,
+      hasBudget: budget.canRetry(now, this.#context.getProcessCount()),
+    };
+    return policy.isEndedEarly(createOpenAttempt(request, routed, history), means, now);
+  }
+
   /**
    * Converts a server error that answers an idempotent call to a failed attempt, because the
    * call may succeed at another endpoint. Returns other results unchanged.
@@ -234,6 +250,16 @@
   }
 }
 
+function createOpenAttempt(
+  request: requests.OpenRequest,
+  routed: requests.RoutedRequest,
+  history: AttemptHistory,
+): policy.OpenAttempt {
+  const { kind, maxAttempts } = routed.route;
+  const { ranAttempts, refusedAttempts } = history;
+  return { kind, ranAttempts, refusedAttempts, maxAttempts, answerBy: request.answerBy };
+}
+
 /** One attempt of a call: sends the request and collects its answer. */
 class CallExchange implements pools.ExchangeListener {
   readonly #options: {
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./config_register.ts";
 export * from "./crash_attribution.ts";
 export * from "./drain_schedule.ts";
+export * from "./early_retry.ts";
 export * from "./endpoint_limits.ts";
 export * from "./endpoint_table.ts";
 export * from "./engine_placement.ts";
--- a/packages/policy/src/window_budget.ts
+++ b/packages/policy/src/window_budget.ts
@@ -48,11 +48,17 @@
    * it; returns false otherwise.
    */
   takeRetry(now: number, processes: number): boolean {
+    if (!this.canRetry(now, processes)) return false;
+    this.#retryTimes.push(now);
+    return true;
+  }
+
+  /** Whether {@linkcode takeRetry} would permit a retry now. */
+  canRetry(now: number, processes: number): boolean {
     this.#dropExpiredTimes(now);
     const allowedRetries = this.#bounds.ratio * this.#requestTimes.length +
       this.#bounds.allowance / Math.max(1, processes);
     if (this.#retryTimes.length + 1 > allowedRetries * USED_SHARE) return false;
-    this.#retryTimes.push(now);
     return true;
   }
 
