Connection share follows the known processes

The part of MaxConns that a process uses was at most an eighth, however few processes there were, and had no margin for unknown ones beyond eight. It is now divided by the most processes known in the last ten minutes plus half of them, at least three (packages/policy/process_count); a process that starts assumes twelve. The retry budget divides by the same number. Idle connections beyond a share that has become smaller are closed.

Generations that were placed in one step also counted the same connection as unused each: 6 at once at a share of 2. A placement now reserves its connection.

process_count_test: with fleets of 1, 3, 7 and 12 that start, grow and part, at most 100 of 100 connections. connection_share_test failed before (12 instead of 25 calls; 6 generations instead of 2). stuck_calls_test counted on a share of 12; it waits for the end of the start and now demands exactly 25 stuck calls.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -59,6 +59,13 @@
     to: "clearTimeout(this.#deadlineTimer);",
     test: "platform/dist/stuck_calls_test.js",
   },
+  {
+    name: "generations that are placed together stay within the connection share",
+    file: "packages/gateway/src/stream_forwarder.ts",
+    from: "context.pool.reserveConnection(endpoint.endpoint);",
+    to: "context.pool.reserveConnection(`${endpoint.endpoint}0` as core.EndpointId);",
+    test: "platform/dist/connection_share_test.js",
+  },
   {
     name: "a call without a caller follows a shortened time-out",
     file: "packages/gateway/src/open_request.ts",
--- a/packages/bench/src/policy_mutations.ts
+++ b/packages/bench/src/policy_mutations.ts
@@ -67,6 +67,13 @@
     to: "return canRetry(attempt, now);",
     test: "packages/policy/dist/early_retry_test.js",
   },
+  {
+    name: "shared limits leave a margin for unknown processes",
+    file: "packages/policy/src/process_count.ts",
+    from: "return peak + Math.max(MIN_UNKNOWN, Math.ceil(peak * UNKNOWN_SHARE));",
+    to: "return peak;",
+    test: "packages/policy/dist/process_count_test.js",
+  },
   {
     name: "status 503 is only returned for requests that have not run",
     file: "packages/policy/src/forward_retry.ts",
--- a/packages/gateway/src/connection_pool.ts
+++ b/packages/gateway/src/connection_pool.ts
@@ -192,6 +192,8 @@
   readonly #idleConnections = new Map<core.EndpointId, EndpointConnection[]>();
   /** Number of connections per endpoint, both idle and in use. */
   readonly #connectionCounts = new Map<core.EndpointId, number>();
+  /** Number of placed requests per endpoint that have not been sent yet. */
+  readonly #reservedCounts = new Map<core.EndpointId, number>();
   /** Number of connections opened since the start, including those that are closed again. */
   openedCount = 0;
 
@@ -222,10 +224,31 @@
     });
   }
 
-  /** Whether a request to `endpoint` can be sent without exceeding `maxConnections` to it. */
+  /**
+   * Whether a request to `endpoint` can be sent without exceeding `maxConnections` to it. Closes
+   * idle connections beyond that number, which may have become smaller.
+   */
   canSend(endpoint: core.EndpointId, maxConnections: number): boolean {
-    return this.#idleConnections.has(endpoint) ||
-      (this.#connectionCounts.get(endpoint) ?? 0) < maxConnections;
+    const countConnections = () => this.#connectionCounts.get(endpoint) ?? 0;
+    for (const connection of this.#idleConnections.get(endpoint) ?? []) {
+      if (countConnections() <= maxConnections) break;
+      connection.destroy();
+    }
+    const idleCount = this.#idleConnections.get(endpoint)?.length ?? 0;
+    const unusedCount = idleCount + Math.max(0, maxConnections - countConnections());
+    return unusedCount > (this.#reservedCounts.get(endpoint) ?? 0);
+  }
+
+  /** Reserves a connection for a request that is placed at `endpoint` and sent a moment later. */
+  reserveConnection(endpoint: core.EndpointId): void {
+    this.#reservedCounts.set(endpoint, (this.#reservedCounts.get(endpoint) ?? 0) + 1);
+  }
+
+  /** Gives a reservation back, when its request is sent or has ended. */
+  releaseReservation(endpoint: core.EndpointId): void {
+    const reservedCount = (this.#reservedCounts.get(endpoint) ?? 1) - 1;
+    if (reservedCount > 0) this.#reservedCounts.set(endpoint, reservedCount);
+    else this.#reservedCounts.delete(endpoint);
   }
 
   closeIdle(endpoint: core.EndpointId): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,8 +35,6 @@
   readonly random: core.RandomSource;
 }
 
-/** Limits that processes share are divided by at least this number; some may be unknown. */
-const MIN_PROCESS_COUNT = 8;
 /** Interval between checks for expired instances and evidence. */
 const EXPIRY_CHECK_INTERVAL_MS = 200;
 const DRAIN_POLL_INTERVAL_MS = 50;
@@ -53,6 +51,7 @@
   readonly #peerAgent: peerAgents.PeerAgent;
   readonly #leaveWatcher: leaveWatchers.LeaveWatcher;
   readonly #announcer: announcers.Announcer;
+  readonly #processCount = new policy.ProcessCount();
   readonly #retryBudgets = new Map<core.ServiceName, policy.SlidingWindowRetryBudget>();
   #isDraining = false;
   #expiryTimer: NodeJS.Timeout | undefined;
@@ -259,7 +258,7 @@
       }),
       engineControl: this.#options.engineControl,
       getRetryBudget: (service) => this.#getRetryBudget(service),
-      getProcessCount: () => Math.max(MIN_PROCESS_COUNT, this.#peerAgent.knownPeerCount + 1),
+      getProcessCount: () => this.#getProcessCount(clock.now()),
       getReportLagMs: () => this.#peerAgent.reportLagMs,
       recordClosingAnswer: (endpoint) => this.#leaveWatcher.recordClosingAnswer(endpoint),
       publishChanges: (changes) => this.#publishChanges(changes),
@@ -278,8 +277,8 @@
 
   /**
    * Returns the usable endpoints that this process may send to now: their own limits permit it, and
-   * there is an idle connection or room for another one. Each process may use an equal part of the
-   * service's connection limit.
+   * there is an idle connection or room for another one in this process's share of the service's
+   * connection limit.
    */
   #listConnectableEndpoints(service: core.ServiceName): core.EndpointRecord[] {
     const { config, directory, pool, limitAgent } = this.#context;
@@ -288,10 +287,8 @@
       .filter((record) => limitAgent.canSend(record.instance, now));
     const maxConnections = config.inForce?.config.services.get(service)?.maxConnections;
     if (maxConnections === undefined) return records;
-    const connectionLimit = Math.max(
-      1,
-      Math.floor(maxConnections / this.#context.getProcessCount()),
-    );
+    const processCount = this.#getProcessCount(now);
+    const connectionLimit = policy.computeConnectionShare(maxConnections, processCount);
     return records.filter((record) => pool.canSend(record.endpoint, connectionLimit));
   }
 
@@ -360,9 +357,18 @@
     const now = this.#options.clock.now();
     this.#context.quarantineAgent.expireEvidence(now);
     this.#context.limitAgent.expireLimits(now);
+    // Peaks between requests count too.
+    this.#getProcessCount(now);
     this.#publishChanges(this.#context.directory.expireInstances(now));
   }
 
+  /** Returns the number of processes that shared limits are divided by. */
+  #getProcessCount(now: number): number {
+    const { listedAt } = this.#storeAgent;
+    const isStarting = listedAt === undefined || policy.isLinking(listedAt, now);
+    return this.#processCount.getCount(this.#peerAgent.knownPeerCount + 1, { isStarting, now });
+  }
+
   #getRetryBudget(service: core.ServiceName): policy.SlidingWindowRetryBudget {
     let budget = this.#retryBudgets.get(service);
     if (budget === undefined) {
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -35,7 +35,7 @@
   listEngines(service: core.ServiceName): policy.EngineCandidate[];
   getEngineProfile(service: core.ServiceName): core.EngineProfile | undefined;
   getRetryBudget(service: core.ServiceName): policy.SlidingWindowRetryBudget;
-  /** Returns the number of processes that share retry and connection limits, including this one. */
+  /** Returns the number of processes that shared limits are divided by, at least the known ones. */
   getProcessCount(): number;
   /** Returns the age of other processes' loads when they arrive, if it matters for placement. */
   getReportLagMs(): number;
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -76,6 +76,8 @@
     for (;;) {
       const endpoint = await this.#acquireEngine(request, generation, triedInstances);
       if (typeof endpoint === "string") return this.#refuse(request, endpoint);
+      // The relay sends the request before anything else is placed.
+      context.pool.releaseReservation(endpoint.endpoint);
       if (request.end !== undefined) {
         return context.enginePlacement.recordEnd(endpoint.instance, request.id);
       }
@@ -142,6 +144,7 @@
       // The load is recorded before the relay starts, so that the next choice includes it.
       context.enginePlacement.recordStart(endpoint.instance, generation.request, generation.size);
       context.limitAgent.recordSend(endpoint.instance, now);
+      context.pool.reserveConnection(endpoint.endpoint);
       hasPlacedGeneration = true;
       this.#settleWaiter(generation.request, endpoint);
       return true;
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -25,6 +25,7 @@
 export * from "./peer_selection.ts";
 export * from "./placement_spread.ts";
 export * from "./order_planner.ts";
+export * from "./process_count.ts";
 export * from "./prompt_quarantine.ts";
 export * from "./ownership.ts";
 export * from "./report_policy.ts";
