No second head for a request that has its answer

Looked at each call of sendProblem, sendAnswer and startStream: all are guarded by the head that was sent. The server itself was not: a request that was answered 413 before its body was complete got a further 'HTTP/1.1 400' once its body could not be read, which a caller takes for the answer to its next request. Its connection is now closed after the first answer. second_head_test failed before (413 and 400).

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -66,6 +66,13 @@
     to: "context.pool.reserveConnection(`${endpoint.endpoint}0` as core.EndpointId);",
     test: "platform/dist/connection_share_test.js",
   },
+  {
+    name: "a request that has its answer gets no second one",
+    file: "packages/gateway/src/front_server.ts",
+    from: "connection?.lastRequest?.complete === false",
+    to: "connection === undefined",
+    test: "platform/dist/second_head_test.js",
+  },
   {
     name: "a call without a caller follows a shortened time-out",
     file: "packages/gateway/src/open_request.ts",
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -18,6 +18,8 @@
 interface Connection {
   /** Answers whose last byte has not been passed to the operating system yet. */
   readonly openAnswers: Set<http.ServerResponse>;
+  /** The last request whose head has arrived; its body may still be incomplete. */
+  lastRequest: http.IncomingMessage | undefined;
   /** Whether an answer ends the connection, so that later requests on it get none. */
   hasLastAnswer: boolean;
   /** Whether bytes arrived that cannot be read as a request. */
@@ -133,6 +135,7 @@
     socket.setNoDelay(true);
     this.#connections.set(socket, {
       openAnswers: new Set(),
+      lastRequest: undefined,
       hasLastAnswer: false,
       hasFailed: false,
       answeredBytes: 0,
@@ -160,6 +163,10 @@
     }
     const isHeadSent = [...connection?.openAnswers ?? []].some(({ headersSent }) => headersSent);
     if (!socket.writable || isHeadSent) return void socket.destroy();
+    // The unreadable bytes belong to a request that has its answer, for example a 413.
+    if (connection?.lastRequest?.complete === false && connection.openAnswers.size === 0) {
+      return socket.destroySoon();
+    }
     const status = STATUS_BY_ERROR.get(error.code ?? "") ?? 400;
     socket.write(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
     socket.destroySoon();
@@ -172,6 +179,7 @@
     if (connection.hasLastAnswer) return false;
     if (this.#isDraining) closeAfterAnswer(connection, response);
     if (!response.shouldKeepAlive) connection.hasLastAnswer = true;
+    connection.lastRequest = response.req;
     connection.openAnswers.add(response);
     response.once("close", () => {
       connection.openAnswers.delete(response);
