An endpoint that was slow gets a trial call after 2 s

Cause, shown without a network in call_placement_test: three equal endpoints, the first answers of one take 300 or 2,000 ms, later ones 20 ms. It got no call in the next 7 s. The latency of an endpoint that is not chosen decays towards the mean, but the mean contained that latency, and beside idle endpoints the score must come within 5% of theirs: 17 s at 15 times their latency. Load is not the cause.

An endpoint without an open attempt whose last answer is 2 s old is now scored with the mean of the others; a sound answer replaces the old latency, a slow one doubles the delay up to 16 s. Stale latencies are left out of the mean.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -251,8 +251,8 @@
   {
     name: "the number of connections to an endpoint stays within the process's share",
     file: "packages/gateway/src/connection_pool.ts",
-    from: "(this.#connectionCounts.get(endpoint) ?? 0) < maxConnections",
-    to: "maxConnections > 0",
+    from: "const unusedCount = idleCount + Math.max(0, maxConnections - countConnections());",
+    to: "const unusedCount = idleCount + maxConnections;",
     test: "packages/gateway/dist/connection_pool_test.js",
   },
   {
--- a/packages/bench/src/policy_mutations.ts
+++ b/packages/bench/src/policy_mutations.ts
@@ -74,6 +74,13 @@
     to: "return peak;",
     test: "packages/policy/dist/process_count_test.js",
   },
+  {
+    name: "an endpoint that was slow gets a trial call",
+    file: "packages/policy/src/call_placement.ts",
+    from: "const isTrialDue = stats.openAttemptStarts.length === 0 && isStale(stats, now);",
+    to: "const isTrialDue = false;",
+    test: "packages/policy/dist/call_placement_test.js",
+  },
   {
     name: "status 503 is only returned for requests that have not run",
     file: "packages/policy/src/forward_retry.ts",
--- a/packages/policy/src/call_placement.ts
+++ b/packages/policy/src/call_placement.ts
@@ -21,6 +21,8 @@
   readonly openAttemptStarts: number[];
   lastAnswerAt: number;
   lastAttemptEndAt: number;
+  /** Time since the last answer after which a trial call disregards the recorded latency. */
+  trialDelayMs: number;
 }
 
 /** Weight of a new observation; about the last ten attempts determine the average. */
@@ -32,6 +34,15 @@
  * or failed is tried again. Most endpoint faults last a few seconds.
  */
 const STATS_DECAY_MS = 3_000;
+/**
+ * Time without an answer after which an endpoint gets a trial call as if it were as fast as the
+ * others. By decay alone, an endpoint 15 times as slow is not chosen beside idle ones for 17 s.
+ */
+const MIN_TRIAL_DELAY_MS = 2_000;
+/** The delay doubles up to this value while trials are slow, so that they cost few callers time. */
+const MAX_TRIAL_DELAY_MS = 16_000;
+/** A trial with less than this share of the recorded latency shows that the endpoint recovered. */
+const RECOVERED_LATENCY_SHARE = 0.5;
 /** How long an endpoint is avoided after an attempt that did not reach it or got no answer. */
 const AVOID_UNREACHABLE_MS = 1_000;
 /** How long an endpoint is avoided after it refused an attempt. */
@@ -90,10 +101,7 @@
     const index = stats.openAttemptStarts.indexOf(startedAt);
     if (index >= 0) stats.openAttemptStarts.splice(index, 1);
     if (report === "answered" || report === "failed") {
-      // The older the previous observation is, the more weight the new observation gets.
-      const weight = Math.max(SMOOTHING_WEIGHT, 1 - computeDecayWeight(stats.lastAnswerAt, now));
-      stats.latencyMs += weight * (now - startedAt - stats.latencyMs);
-      stats.lastAnswerAt = now;
+      recordLatency(stats, now - startedAt, { startedAt, now });
     }
     const failureSample = report === "answered" || report === "refused" ? 0 : 1;
     stats.failureShare *= computeDecayWeight(stats.lastAttemptEndAt, now);
@@ -122,7 +130,8 @@
     const stats = this.#getStats(candidate.instance);
     const slots = Math.max(1, candidate.slots);
     const load = (stats.openAttemptStarts.length + 1) / slots;
-    const latencyMs = meanLatencyMs +
+    const isTrialDue = stats.openAttemptStarts.length === 0 && isStale(stats, now);
+    const latencyMs = isTrialDue ? meanLatencyMs : meanLatencyMs +
       computeDecayWeight(stats.lastAnswerAt, now) * (stats.latencyMs - meanLatencyMs);
     const failureShare = stats.failureShare * computeDecayWeight(stats.lastAttemptEndAt, now);
     let score = latencyMs * load * (1 + FAILURE_WEIGHT * failureShare);
@@ -131,13 +140,16 @@
     return score;
   }
 
-  /** Computes the mean latency of the candidates; recent observations have more weight. */
+  /**
+   * Computes the mean latency of the candidates; recent observations have more weight. Those that a
+   * trial is to replace have none: the mean that stands for them would contain them.
+   */
   #computeMeanLatencyMs(candidates: readonly core.EndpointRecord[], now: number): number {
     let weightedSumMs = 0;
     let weightSum = 0;
     for (const { instance } of candidates) {
       const stats = this.#statsByInstance.get(instance);
-      if (stats === undefined) continue;
+      if (stats === undefined || isStale(stats, now)) continue;
       const weight = computeDecayWeight(stats.lastAnswerAt, now);
       weightedSumMs += weight * stats.latencyMs;
       weightSum += weight;
@@ -161,6 +173,7 @@
         openAttemptStarts: [],
         lastAnswerAt: -Infinity,
         lastAttemptEndAt: -Infinity,
+        trialDelayMs: MIN_TRIAL_DELAY_MS,
       };
       this.#statsByInstance.set(instance, stats);
     }
@@ -168,6 +181,30 @@
   }
 }
 
+function isStale(stats: EndpointStats, now: number): boolean {
+  return now - stats.lastAnswerAt >= stats.trialDelayMs;
+}
+
+/** Records the latency of an attempt that began at `startedAt`. */
+function recordLatency(
+  stats: EndpointStats,
+  latencyMs: number,
+  options: { readonly startedAt: number; readonly now: number },
+): void {
+  const { startedAt, now } = options;
+  const isTrial = Number.isFinite(stats.lastAnswerAt) && isStale(stats, startedAt);
+  const hasRecovered = isTrial && latencyMs < stats.latencyMs * RECOVERED_LATENCY_SHARE;
+  // The older the previous observation is, the more weight the new observation gets.
+  const weight = hasRecovered
+    ? 1
+    : Math.max(SMOOTHING_WEIGHT, 1 - computeDecayWeight(stats.lastAnswerAt, now));
+  stats.latencyMs += weight * (latencyMs - stats.latencyMs);
+  stats.trialDelayMs = isTrial && !hasRecovered
+    ? Math.min(MAX_TRIAL_DELAY_MS, stats.trialDelayMs * 2)
+    : MIN_TRIAL_DELAY_MS;
+  stats.lastAnswerAt = now;
+}
+
 /** Returns the weight of an observation: 1 at `observedAt`, then decaying towards 0. */
 function computeDecayWeight(observedAt: number, now: number): number {
   return Math.exp(-(now - observedAt) / STATS_DECAY_MS);
--- a/packages/policy/src/call_placement_test.ts
+++ b/packages/policy/src/call_placement_test.ts
@@ -109,6 +109,42 @@
   t.end();
 });
 
+// An endpoint whose first answers were slow, as on a busy machine, got no calls in the 7 s after
+// that: the mean that stands for its fading latency contained that latency.
+tap.t.test("an endpoint whose first answers are slow gets its share within seconds", (t) => {
+  const SLOW_UNTIL = 2_000;
+  const INTERVAL_MS = 10;
+  const endpoints = ["first", "second", "slow"].map((id) => createEndpoint(id));
+  for (const slowMs of [300, 2_000]) {
+    const placement = new placements.CallPlacement();
+    const options = { zone: ZONE, random: new core.SeededRandom(7), avoid: NO_INSTANCES };
+    const open: { instance: core.InstanceId; startedAt: number; endAt: number }[] = [];
+    const starts: number[] = [];
+    let mostOpen = 0;
+    for (let now = 0; now < 10_000; now += INTERVAL_MS) {
+      for (const call of open.filter(({ endAt }) => endAt <= now)) {
+        open.splice(open.indexOf(call), 1);
+        placement.recordEnd(call.instance, "answered", { startedAt: call.startedAt, now });
+      }
+      const { instance } = placement.chooseEndpoint(endpoints, now, options)!;
+      const isSlow = instance === "slow" && now < SLOW_UNTIL;
+      placement.recordStart(instance, now);
+      open.push({ instance, startedAt: now, endAt: now + (isSlow ? slowMs : 20) });
+      if (instance === "slow") starts.push(now);
+      const slowCount = open.filter((call) => call.instance === "slow").length;
+      if (now > SLOW_UNTIL + slowMs) mostOpen = Math.max(mostOpen, slowCount);
+    }
+    const lateStarts = starts.filter((at) => at >= SLOW_UNTIL + slowMs + 4_000);
+    const lateCalls = (10_000 - SLOW_UNTIL - slowMs - 4_000) / INTERVAL_MS;
+    const share = lateStarts.length / lateCalls;
+    t.ok(share > 0.2, `${slowMs} ms: ${share} of the calls from 4 s after its last slow answer`);
+    t.ok(mostOpen <= 2, `${slowMs} ms: ${mostOpen} calls at once`);
+    const firstLate = starts.find((at) => at > SLOW_UNTIL + slowMs) ?? Infinity;
+    t.comment(`first call ${firstLate - SLOW_UNTIL - slowMs} ms after the last slow answer`);
+  }
+  t.end();
+});
+
 // Attempts at an endpoint that hangs do not end, so its recorded latency and failure share do not
 // rise.
 tap.t.test("an endpoint that stops answering gets no calls while another one answers", (t) => {
