Server-Leaving and Retry-After of an endpoint's 503

Endpoints state in an answer that they leave, or, in a 503, for how long they accept nothing from this process. Both were ignored.

The gateway's signal agent takes them from the head of any answer. policy/leave_signals keeps the starts that leave: no entry of that start readmits it, a later born ends it, and peers are told with start and age. policy/hold_offs keeps the pauses: no call, generation, move or question until their end, at most 300 s; a service whose endpoints all asked for one refuses at once with a Retry-After after the earliest end.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -62,8 +62,8 @@
   {
     name: "generations that are placed together stay within the connection share",
     file: "packages/gateway/src/stream_forwarder.ts",
-    from: "context.pool.reserveConnection(endpoint.endpoint);",
-    to: "context.pool.reserveConnection(`${endpoint.endpoint}0` as core.EndpointId);",
+    from: "context.pool.holdConnection(endpoint.endpoint);",
+    to: "context.pool.holdConnection(`${endpoint.endpoint}0` as core.EndpointId);",
     test: "platform/dist/connection_share_test.js",
   },
   {
@@ -73,6 +73,13 @@
     to: "connection === undefined",
     test: "platform/dist/second_head_test.js",
   },
+  {
+    name: "an endpoint that asked for a pause gets nothing",
+    file: "packages/gateway/src/signal_agent.ts",
+    from: "return !this.isHeldOff(endpoint) && this",
+    to: "return this",
+    test: "platform/dist/endpoint_signals_test.js",
+  },
   {
     name: "a call without a caller follows a shortened time-out",
     file: "packages/gateway/src/open_request.ts",
@@ -125,8 +132,8 @@
   {
     name: "an engine's state report has the expected form",
     file: "platform/src/engine_client.ts",
-    from: "if (!report.success) return undefined;",
-    to: "if (!report.success) return { isLeaving: false };",
+    from: "return report.success ? report.output : undefined;",
+    to: "return report.success ? report.output : {};",
     test: "platform/dist/engine_answers_test.js",
   },
   {
@@ -188,7 +195,7 @@
   {
     name: "no process exceeds its share of a limit that an endpoint names",
     file: "packages/gateway/src/gateway.ts",
-    from: ".filter((record) => limitAgent.canSend(record.instance, now));",
+    from: ".filter((record) => signalAgent.canSend(record, now));",
     to: ";",
     test: "platform/dist/named_limit_test.js",
   },
--- a/packages/bench/src/policy_mutations.ts
+++ b/packages/bench/src/policy_mutations.ts
@@ -81,6 +81,20 @@
     to: "const isTrialDue = false;",
     test: "packages/policy/dist/call_placement_test.js",
   },
+  {
+    name: "no entry of the start that leaves readmits an endpoint",
+    file: "packages/policy/src/instance_directory.ts",
+    from: "if (isSignalled) return [];",
+    to: "",
+    test: "packages/policy/dist/leave_signals_test.js",
+  },
+  {
+    name: "a pause that an endpoint states is capped",
+    file: "packages/policy/src/hold_offs.ts",
+    from: "Math.min(retryAfterMs, MAX_HOLD_OFF_MS)",
+    to: "retryAfterMs",
+    test: "packages/policy/dist/hold_offs_test.js",
+  },
   {
     name: "status 503 is only returned for requests that have not run",
     file: "packages/policy/src/forward_retry.ts",
--- a/packages/gateway/src/answer_check_test.ts
+++ b/packages/gateway/src/answer_check_test.ts
@@ -8,6 +8,8 @@
   isRefused: false,
   isMisdirected: false,
   isClosing: false,
+  isLeaving: false,
+  retryAfterMs: undefined,
   isGenuine: true,
   rateLimitPerS: undefined,
   isEncoded: false,
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -122,8 +122,7 @@
       const call = new CallExchange({
         request,
         codec: this.#context.codec,
-        onLimit: (ratePerS) =>
-          this.#context.limitAgent.recordAnswer(endpoint.instance, { ratePerS, sentAt: startedAt }),
+        onAnswerHead: (head) => this.#context.signalAgent.recordAnswer(endpoint, head, startedAt),
         onEnd: (result) => {
           clearTimeout(timer);
           request.setCancelHandler(undefined);
@@ -236,16 +235,18 @@
     const isLate = history.lastFailureReason === "timeout" ||
       request.getRemainingMs(this.#context.clock.now()) <= 0;
     const status = policy.chooseFailureStatus(history.outcome, { isLate });
-    const limitWaitMs = this.#context.getLimitWaitMs(routed.service, this.#context.clock.now());
-    const isLimited = limitWaitMs > 0 && history.triedInstances.size === 0;
-    const reason = isLimited ? "endpoints_limited" : history.lastFailureReason;
+    const now = this.#context.clock.now();
+    const { waitMs, isHeldOff } = this.#context.signalAgent.getServiceWait(routed.service, now);
+    const isLimited = waitMs > 0 && history.triedInstances.size === 0;
+    const limitReason = isHeldOff ? "endpoints_held_off" : "endpoints_limited";
+    const reason = isLimited ? limitReason : history.lastFailureReason;
     const spreadMs = problems.drawRetryAfterMs(this.#context.random);
     request.sendProblem(problems.createRequestProblem(status, reason, {
       outcome: history.outcome,
       detail: isLimited
-        ? `the endpoints of ${routed.service} have limited their request rates`
+        ? `the endpoints of ${routed.service} have limited what they accept`
         : `no endpoint of ${routed.service} answered`,
-      retryAfterMs: status === 503 ? limitWaitMs + spreadMs : undefined,
+      retryAfterMs: status === 503 ? waitMs + spreadMs : undefined,
     }));
   }
 }
@@ -265,8 +266,8 @@
   readonly #options: {
     readonly request: requests.OpenRequest;
     readonly codec: codec.HeaderCodec;
-    /** Called with the limit that the answer names, or undefined if it names none. */
-    readonly onLimit: (ratePerS: number | undefined) => void;
+    /** Called with the head of an answer that belongs to the request. */
+    readonly onAnswerHead: (head: codec.AnswerHead) => void;
     readonly onEnd: (result: AttemptResult) => void;
   };
   #exchange: pools.Exchange | undefined;
@@ -281,7 +282,7 @@
   constructor(options: {
     readonly request: requests.OpenRequest;
     readonly codec: codec.HeaderCodec;
-    readonly onLimit: (ratePerS: number | undefined) => void;
+    readonly onAnswerHead: (head: codec.AnswerHead) => void;
     readonly onEnd: (result: AttemptResult) => void;
   }) {
     this.#options = options;
@@ -313,11 +314,11 @@
   onHead(status: number, headers: codec.RawHeaders): void {
     this.#answerStatus = status;
     this.#answerHeaders = headers;
-    const { codec, onLimit } = this.#options;
+    const { codec, onAnswerHead } = this.#options;
     const head = codec.decodeAnswer(status, headers);
     this.#answerHead = head;
     const fault = this.#findFault();
-    if (fault?.outcome !== "unknown") onLimit(head.rateLimitPerS);
+    if (fault?.outcome !== "unknown") onAnswerHead(head);
   }
 
   onData(chunk: Buffer): void {
--- a/packages/gateway/src/codec.ts
+++ b/packages/gateway/src/codec.ts
@@ -52,8 +52,19 @@
   readonly memory: GenerationMemory | undefined;
 }
 
+/** What an endpoint states of itself in the head of any answer. */
+export interface EndpointSignals {
+  /** Whether the endpoint leaves. */
+  readonly isLeaving: boolean;
+  /**
+   * Time for which the endpoint accepts nothing from this process, in milliseconds. Undefined if
+   * the answer is not a 503, or if it states no such time or one that is not a number of seconds.
+   */
+  readonly retryAfterMs: number | undefined;
+}
+
 /** Information that an endpoint gives in the head of an answer. */
-export interface AnswerHead {
+export interface AnswerHead extends EndpointSignals {
   /** Id of the request that the answer belongs to. */
   readonly request: string | undefined;
   /** Whether the endpoint declares that it has not run the request. */
--- a/packages/gateway/src/connection_pool.ts
+++ b/packages/gateway/src/connection_pool.ts
@@ -240,7 +240,7 @@
   }
 
   /** Reserves a connection for a request that is placed at `endpoint` and sent a moment later. */
-  reserveConnection(endpoint: core.EndpointId): void {
+  holdConnection(endpoint: core.EndpointId): void {
     this.#reservedCounts.set(endpoint, (this.#reservedCounts.get(endpoint) ?? 0) + 1);
   }
 
--- a/packages/gateway/src/engine_control.ts
+++ b/packages/gateway/src/engine_control.ts
@@ -5,6 +5,7 @@
 
 import type * as core from "@peridotvale/core";
 import type * as neverthrow from "neverthrow";
+import type * as codec from "./codec.ts";
 
 /** Completed copy of a generation's memory to another engine. */
 export interface MemoryCopy {
@@ -36,11 +37,13 @@
 export interface EngineState {
   /** Whether the engine accepts no new requests and will stop soon. */
   readonly isLeaving: boolean;
+  /** What the head of the answer states; missing if it states nothing. */
+  readonly signals?: codec.EndpointSignals;
 }
 
-export interface EndpointHealth {
-  /** Whether the endpoint is healthy and not leaving. */
-  readonly isHealthy: boolean;
+export interface EndpointHealth extends codec.EndpointSignals {
+  /** Whether the endpoint is healthy and not leaving; undefined if it refused the check. */
+  readonly isHealthy: boolean | undefined;
   /** Instance that answered the probe; undefined if the answer does not name it. */
   readonly instance: core.InstanceId | undefined;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import * as handlers from "./request_handler.ts";
 import type * as stores from "./routing_store.ts";
 import * as storeAgents from "./store_agent.ts";
+import * as signalAgents from "./signal_agent.ts";
 import * as streams from "./stream_forwarder.ts";
 
 export interface GatewayOptions {
@@ -228,6 +229,15 @@
     const config = new policy.ConfigRegister();
     const peerLoads = new policy.PeerLoads();
     const metrics = new core.Metrics();
+    const publishChanges = (changes: readonly policy.InstanceChange[]) =>
+      this.#publishChanges(changes);
+    const limitAgent = new limitAgents.LimitAgent({
+      clock,
+      logger,
+      random,
+      getFleetSize: () => this.#peerAgent.knownPeerCount + 1,
+      countPrecedingPeers: () => this.#peerAgent.countPrecedingPeers(),
+    });
     return {
       settings,
       clock,
@@ -241,12 +251,13 @@
       callPlacement: new policy.CallPlacement(),
       enginePlacement: new policy.EnginePlacement(peerLoads),
       peerLoads,
-      limitAgent: new limitAgents.LimitAgent({
+      limitAgent,
+      signalAgent: new signalAgents.SignalAgent({
         clock,
         logger,
-        random,
-        getFleetSize: () => this.#peerAgent.knownPeerCount + 1,
-        countPrecedingPeers: () => this.#peerAgent.countPrecedingPeers(),
+        directory,
+        limitAgent,
+        publishChanges,
       }),
       quarantineAgent: new quarantines.QuarantineAgent({
         store: this.#options.store,
@@ -261,11 +272,9 @@
       getProcessCount: () => this.#getProcessCount(clock.now()),
       getReportLagMs: () => this.#peerAgent.reportLagMs,
       recordClosingAnswer: (endpoint) => this.#leaveWatcher.recordClosingAnswer(endpoint),
-      publishChanges: (changes) => this.#publishChanges(changes),
+      publishChanges,
       getEngineProfile: (service) => config.inForce?.config.services.get(service)?.engine,
       listEndpoints: (service) => this.#listConnectableEndpoints(service),
-      getLimitWaitMs: (service, now) =>
-        this.#context.limitAgent.getWaitMs(directory.listUsableEndpoints(service), now),
       listEngines: (service) => {
         const profile = config.inForce?.config.services.get(service)?.engine;
         const records = this.#listConnectableEndpoints(service);
@@ -276,15 +285,16 @@
   }
 
   /**
-   * Returns the usable endpoints that this process may send to now: their own limits permit it, and
+   * Returns the usable endpoints that this process may send to now: their own statements permit it,
+   * and
    * there is an idle connection or room for another one in this process's share of the service's
    * connection limit.
    */
   #listConnectableEndpoints(service: core.ServiceName): core.EndpointRecord[] {
-    const { config, directory, pool, limitAgent } = this.#context;
+    const { config, directory, pool, signalAgent } = this.#context;
     const now = this.#options.clock.now();
     const records = directory.listUsableEndpoints(service)
-      .filter((record) => limitAgent.canSend(record.instance, now));
+      .filter((record) => signalAgent.canSend(record, now));
     const maxConnections = config.inForce?.config.services.get(service)?.maxConnections;
     if (maxConnections === undefined) return records;
     const processCount = this.#getProcessCount(now);
@@ -293,13 +303,15 @@
   }
 
   #createReport(now: number, scope: peerOptions.ReportScope): peerOptions.OwnReport {
-    const { enginePlacement, directory, config, quarantineAgent, limitAgent } = this.#context;
+    const { enginePlacement, directory, config, quarantineAgent, limitAgent, signalAgent } =
+      this.#context;
     const release = config.inForce?.config.release;
     return {
       loads: enginePlacement.listOwnLoads((instance) => this.#handOverAgent.getMoveValue(instance)),
       notices: directory.listLeaveNotices(now),
       quarantine: quarantineAgent.listNews(scope, now),
       limits: limitAgent.listNews(scope, now),
+      leaving: signalAgent.listNews(scope, now),
       store: release === undefined ? undefined : {
         release,
         confirmAgeMs: config.getConfirmAgeMs(now),
@@ -321,6 +333,7 @@
     }
     this.#context.quarantineAgent.applyNews(report.quarantine, now);
     this.#context.limitAgent.applyNews(report.limits, now);
+    this.#context.signalAgent.applyNews(report.leaving, now);
     const { store } = report;
     if (store === undefined) return;
     this.#storeAgent.applyPeerView(store, reportTiming);
@@ -357,6 +370,7 @@
     const now = this.#options.clock.now();
     this.#context.quarantineAgent.expireEvidence(now);
     this.#context.limitAgent.expireLimits(now);
+    this.#context.signalAgent.expirePauses(now);
     // Peaks between requests count too.
     this.#getProcessCount(now);
     this.#publishChanges(this.#context.directory.expireInstances(now));
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -8,6 +8,7 @@
 import type * as limitAgents from "./limit_agent.ts";
 import type * as quarantines from "./quarantine_agent.ts";
 import type * as settingsModule from "./gateway_settings.ts";
+import type * as signalAgents from "./signal_agent.ts";
 
 export interface GatewayContext {
   /** Replaced when the settings are reloaded. */
@@ -25,12 +26,11 @@
   /** Load that other gateway processes place on engines. */
   readonly peerLoads: policy.PeerLoads;
   readonly limitAgent: limitAgents.LimitAgent;
+  readonly signalAgent: signalAgents.SignalAgent;
   readonly quarantineAgent: quarantines.QuarantineAgent;
   readonly engineControl: controls.EngineControl;
   /** Returns the endpoints of `service` that may receive new requests. */
   listEndpoints(service: core.ServiceName): core.EndpointRecord[];
-  /** Returns the time until a limit of an endpoint of `service` permits a request; 0 if one does. */
-  getLimitWaitMs(service: core.ServiceName, now: number): number;
   /** Returns the engines of `service` that may receive new generations. */
   listEngines(service: core.ServiceName): policy.EngineCandidate[];
   getEngineProfile(service: core.ServiceName): core.EngineProfile | undefined;
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -16,6 +16,7 @@
 ): void {
   const { metrics, config, directory, pool, peerLoads, quarantineAgent, limitAgent, clock } =
     context;
+  const { signalAgent } = context;
   const { streamForwarder, peerAgent } = sources;
   const register = (name: string, help: string, readValue: () => number) =>
     metrics.registerGauge(name, help, { read: readValue });
@@ -50,6 +51,16 @@
     "Endpoints that name a limit on their request rate.",
     () => limitAgent.limitedCount,
   );
+  register(
+    "held_off_endpoints",
+    "Endpoints that accept nothing from this process for now.",
+    () => signalAgent.heldOffCount,
+  );
+  register(
+    "leave_signals",
+    "Starts of endpoints that stated in an answer that they leave.",
+    () => directory.leaveSignalCount,
+  );
   register("opened_connections", "Connections to endpoints.", () => pool.openedCount);
   register("open_links", "Links to other processes.", () => peerAgent.linkCount);
   register("linked_processes", "Processes that report.", () => peerLoads.processCount);
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -110,9 +110,8 @@
     this.request.startStream(status, headers);
   }
 
-  onLimit(ratePerS: number | undefined): void {
-    const answer = { ratePerS, sentAt: this.#sentAt };
-    this.#context.limitAgent.recordAnswer(this.endpoint.instance, answer);
+  onAnswerHead(head: codec.AnswerHead): void {
+    this.#context.signalAgent.recordAnswer(this.endpoint, head, this.#sentAt);
   }
 
   onEvents(events: readonly splitters.StreamEvent[]): void {
@@ -177,6 +176,10 @@
       const preCopy = await this.#copy(source, target, false);
       if (preCopy.isErr()) return this.#failMove("copy_ahead_failed", target, preCopy.error.type);
       if (source.hasEnded) return this.#failMove("ended_before", target, undefined);
+      const isHeldOff = [source.endpoint, target].some((endpoint) =>
+        this.#context.signalAgent.isHeldOff(endpoint)
+      );
+      if (isHeldOff) return this.#failMove("held_off", target, undefined);
       return await this.#stopAndMove(source, target);
     } finally {
       this.#isHandingOver = false;
--- a/packages/gateway/src/hand_over_agent.ts
+++ b/packages/gateway/src/hand_over_agent.ts
@@ -89,7 +89,7 @@
       if (runs.length === 0) break;
       const now = context.clock.now();
       const nextRun = policy.chooseNextMove(runs, now);
-      const isMoveDue = nextRun !== undefined &&
+      const isMoveDue = nextRun !== undefined && !context.signalAgent.isHeldOff(source) &&
         (this.#isOwnTurn(source, policy.computeMoveValue(nextRun, now)) ||
           now - waitingForTurnSince > MAX_TURN_WAIT_MS);
       if (!isMoveDue) {
--- a/packages/gateway/src/leave_watcher.ts
+++ b/packages/gateway/src/leave_watcher.ts
@@ -52,6 +52,7 @@
     if (!isStoreLost(now) && !context.directory.isEntryMissing(instance)) return;
     const probedAt = this.#healthProbedAt.get(instance) ?? -Infinity;
     if (now - probedAt < HEALTH_PROBE_INTERVAL_MS || !context.directory.isUsable(instance)) return;
+    if (context.signalAgent.isHeldOff(endpoint)) return;
     this.#healthProbedAt.set(instance, now);
     core.startTask("check_health", () => this.#checkHealth(endpoint), context.logger);
   }
@@ -66,14 +67,15 @@
     context.logger.write("endpoint_asked", {
       instance,
       question: "health",
-      answer: health === undefined ? "none" : health.isHealthy ? "healthy" : "unhealthy",
+      answer: formatHealth(health?.isHealthy),
       answered_by: health?.instance,
     });
     if (health === undefined) return;
     if (health.instance !== undefined && health.instance !== instance) {
       return context.publishChanges(context.directory.recordMisdirected(instance, now));
     }
-    if (health.isHealthy) return;
+    context.signalAgent.recordSignals(endpoint, health);
+    if (health.isHealthy !== false) return;
     context.publishChanges(context.directory.recordAnnouncedLeaving(instance, now));
   }
 
@@ -93,6 +95,7 @@
       const ownClaim = { process: context.settings.process, value: 0 };
       const hasTurn = policy.isOwnTurn(ownClaim, endpoint.instance, otherClaims);
       if (!hasTurn || !context.directory.isUsable(endpoint.instance)) continue;
+      if (context.signalAgent.isHeldOff(endpoint)) continue;
       core.startTask("check_state", () => this.#checkState(endpoint), context.logger);
     }
   }
@@ -105,9 +108,17 @@
       question: "state",
       answer: engineState === undefined ? "none" : engineState.isLeaving ? "leaving" : "staying",
     });
+    if (engineState?.signals !== undefined) {
+      context.signalAgent.recordSignals(endpoint, engineState.signals);
+    }
     if (engineState === undefined || !engineState.isLeaving) return;
     context.publishChanges(
       context.directory.recordAnnouncedLeaving(endpoint.instance, context.clock.now()),
     );
   }
 }
+
+function formatHealth(isHealthy: boolean | undefined): string {
+  if (isHealthy === undefined) return "none";
+  return isHealthy ? "healthy" : "unhealthy";
+}
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -367,9 +367,10 @@
 }
 
 /** Encodes what the news are about, without their ages, which change all the time. */
-function encodeNewsSubjects({ quarantine, limits }: types.OwnReport): string {
+function encodeNewsSubjects({ quarantine, limits, leaving }: types.OwnReport): string {
   const crashes = quarantine.crashes.map(({ instance, suspects }) => [instance, suspects.length]);
   const soundParts = quarantine.soundParts.map(({ part }) => part);
   const limitRates = limits.map(({ instance, ratePerS }) => [instance, ratePerS]);
-  return JSON.stringify([crashes, soundParts, limitRates]);
+  const starts = leaving.map(({ instance, startedAt }) => [instance, startedAt]);
+  return JSON.stringify([crashes, soundParts, limitRates, starts]);
 }
--- a/packages/gateway/src/peer_agent_test.ts
+++ b/packages/gateway/src/peer_agent_test.ts
@@ -51,6 +51,7 @@
         store: undefined,
         quarantine: { crashes: [], soundParts: [] },
         limits: [],
+        leaving: [],
       }),
       onReport: () => {},
       getReportRefreshIntervalMs: () => 500,
--- a/packages/gateway/src/peer_restart_test.ts
+++ b/packages/gateway/src/peer_restart_test.ts
@@ -8,7 +8,7 @@
 
 const ZONE = core.createId<core.ZoneName>("a");
 const RESTARTED = core.createId<core.ProcessId>("front-2");
-const NO_NEWS = { quarantine: { crashes: [], soundParts: [] }, limits: [] };
+const NO_NEWS = { quarantine: { crashes: [], soundParts: [] }, limits: [], leaving: [] };
 const EMPTY_REPORT = {
   type: "process_report" as const,
   loads: [],
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -19,7 +19,11 @@
 }
 
 /** Why a request was not placed at an engine. */
-type NoEngineReason = "caller_gone" | "no_engine_in_time" | "prompt_quarantined";
+type NoEngineReason =
+  | "caller_gone"
+  | "no_engine_in_time"
+  | "prompt_quarantined"
+  | "endpoints_held_off";
 
 interface EngineWaiter {
   readonly openRequest: requests.OpenRequest;
@@ -75,7 +79,7 @@
     let refusedAttempts = 0;
     for (;;) {
       const endpoint = await this.#acquireEngine(request, generation, triedInstances);
-      if (typeof endpoint === "string") return this.#refuse(request, endpoint);
+      if (typeof endpoint === "string") return this.#refuse(request, routed, endpoint);
       // The relay sends the request before anything else is placed.
       context.pool.releaseReservation(endpoint.endpoint);
       if (request.end !== undefined) {
@@ -88,7 +92,7 @@
       triedInstances.add(endpoint.instance);
       const attempt = { ...failure, endpoint, ranAttempts: 0, refusedAttempts };
       if (!retries.decideRetry(context, request, { routed, attempt })) {
-        return this.#refuse(request, failure.reason);
+        return this.#refuse(request, routed, failure.reason);
       }
     }
   }
@@ -102,6 +106,7 @@
     const { context } = this.#options;
     const now = context.clock.now();
     if (this.#isQuarantined(request, now)) return "prompt_quarantined";
+    if (context.signalAgent.getPauseMs(generation.service, now) > 0) return "endpoints_held_off";
     if (this.#queue.isTooLate(generation, now)) return "no_engine_in_time";
     return await new Promise((resolve) => {
       this.#waiters.set(generation.request, { openRequest: request, avoid, resolve });
@@ -144,11 +149,12 @@
       // The load is recorded before the relay starts, so that the next choice includes it.
       context.enginePlacement.recordStart(endpoint.instance, generation.request, generation.size);
       context.limitAgent.recordSend(endpoint.instance, now);
-      context.pool.reserveConnection(endpoint.endpoint);
+      context.pool.holdConnection(endpoint.endpoint);
       hasPlacedGeneration = true;
       this.#settleWaiter(generation.request, endpoint);
       return true;
     });
+    this.#refuseHeldOff(now);
     for (const rejected of this.#queue.takeLateGenerations(now)) {
       this.#settleWaiter(rejected.request, "no_engine_in_time");
     }
@@ -158,6 +164,18 @@
     this.#schedulePlacement();
   }
 
+  /** Refuses waiting generations of services whose engines have all asked for a pause. */
+  #refuseHeldOff(now: number): void {
+    const { signalAgent } = this.#options.context;
+    if (signalAgent.heldOffCount === 0) return;
+    for (const [id, { openRequest }] of this.#waiters) {
+      const service = openRequest.routed?.service;
+      if (service === undefined || signalAgent.getPauseMs(service, now) === 0) continue;
+      this.#queue.removeGeneration(id);
+      this.#settleWaiter(id, "endpoints_held_off");
+    }
+  }
+
   #schedulePlacement(): void {
     if (this.#queue.size === 0 || this.#placementTimer !== undefined) return;
     const jitter = 0.5 + this.#options.context.random.next();
@@ -224,9 +242,10 @@
     }
   }
 
-  #refuse(request: requests.OpenRequest, reason: string): void {
-    const { quarantineAgent, clock, random } = this.#options.context;
+  #refuse(request: requests.OpenRequest, routed: requests.RoutedRequest, reason: string): void {
+    const { quarantineAgent, signalAgent, clock, random } = this.#options.context;
     const now = clock.now();
+    const pauseMs = signalAgent.getPauseMs(routed.service, now);
     const quarantined = quarantineAgent.findQuarantined(promptParts.listSharedParts(request), now);
     request.sendProblem(problems.createRequestProblem(503, reason, {
       outcome: "not_run",
@@ -235,7 +254,7 @@
         : "engines crashed on a part of this prompt; it is not sent to further ones",
       // An earlier return would be refused again.
       retryAfterMs: quarantined === undefined
-        ? problems.drawRetryAfterMs(random)
+        ? pauseMs + problems.drawRetryAfterMs(random)
         : quarantined.until - now,
     }));
   }
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -45,8 +45,8 @@
 export interface UpstreamListener {
   /** Called when a successful answer begins, before its first events. */
   onStart(status: number, headers: codec.RawHeaders): void;
-  /** Called with the limit that the engine's answer names, or undefined if it names none. */
-  onLimit(ratePerS: number | undefined): void;
+  /** Called with the head of an answer that belongs to the request. */
+  onAnswerHead(head: codec.AnswerHead): void;
   onEvents(events: readonly splitters.StreamEvent[]): void;
   onUpstreamEnd(end: UpstreamEnd): void;
 }
@@ -135,7 +135,7 @@
       id: this.#request.id,
       isConnectionReused: (this.#connectionUse?.carriedRequests ?? 0) > 0,
     });
-    if (this.#fault?.outcome !== "unknown") this.#listener.onLimit(head.rateLimitPerS);
+    if (this.#fault?.outcome !== "unknown") this.#listener.onAnswerHead(head);
     if (this.#fault?.outcome === "unknown") return this.abort(this.#fault.reason);
     if (this.#hasEnded || this.#fault !== undefined || status >= FIRST_NON_SUCCESS_STATUS) return;
     this.#listener.onStart(status, headers);
--- a/packages/peers/src/codec.ts
+++ b/packages/peers/src/codec.ts
@@ -77,14 +77,18 @@
   loads: readonly (string | number)[],
 ];
 
-type WireReport = Omit<messages.ProcessReportMessage, "relayed" | "quarantine" | "limits"> & {
-  /** Missing if there is none, or if the sender runs a version without quarantine. */
-  readonly quarantine?: policy.QuarantineNews;
-  /** Missing if there are none, or if the sender runs a version that does not report them. */
-  readonly limits?: readonly policy.LimitReport[];
-  /** Missing if the sender runs a version without hubs. */
-  readonly relayed?: readonly WireRelayedLoads[];
-};
+type WireReport =
+  & Omit<messages.ProcessReportMessage, "relayed" | "quarantine" | "limits" | "leaving">
+  & {
+    /** Missing if there is none, or if the sender runs a version without quarantine. */
+    readonly quarantine?: policy.QuarantineNews;
+    /** Missing if there are none, or if the sender runs a version that does not report them. */
+    readonly limits?: readonly policy.LimitReport[];
+    /** Missing if there are none, or if the sender runs a version that does not report them. */
+    readonly leaving?: readonly policy.LeaveSignalReport[];
+    /** Missing if the sender runs a version without hubs. */
+    readonly relayed?: readonly WireRelayedLoads[];
+  };
 
 type WireMessage =
   | Exclude<messages.PeerMessage, messages.ConfigMessage | messages.ProcessReportMessage>
@@ -182,13 +186,14 @@
     const { process, zone, incarnation, sentAt, isLost } = report;
     return [process, zone, incarnation, sentAt, isLost, loads];
   });
-  const { quarantine, limits, ...report } = message;
+  const { quarantine, limits, leaving, ...report } = message;
   const hasNews = quarantine.crashes.length > 0 || quarantine.soundParts.length > 0;
   return {
     ...report,
     relayed,
     ...(hasNews ? { quarantine } : {}),
     ...(limits.length > 0 ? { limits } : {}),
+    ...(leaving.length > 0 ? { leaving } : {}),
   };
 }
 
@@ -208,7 +213,7 @@
     return { process, zone, incarnation, sentAt, isLost, loads };
   });
   const quarantine = wire.quarantine ?? { crashes: [], soundParts: [] };
-  return { ...wire, relayed, quarantine, limits: wire.limits ?? [] };
+  return { ...wire, relayed, quarantine, limits: wire.limits ?? [], leaving: wire.leaving ?? [] };
 }
 
 function encodeEvents(message: messages.CapacityEventsMessage): WireEvents {
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -90,6 +90,8 @@
   readonly quarantine: policy.QuarantineNews;
   /** Limits of endpoints that the sender learned of recently, and those that have ended. */
   readonly limits: readonly policy.LimitReport[];
+  /** Starts of endpoints of which the sender learned recently that they stated they leave. */
+  readonly leaving: readonly policy.LeaveSignalReport[];
   /** Loads of other processes that the sender, a hub, passes on since its last report. */
   readonly relayed: readonly policy.RelayedLoads[];
 }
--- a/packages/policy/src/instance_directory.ts
+++ b/packages/policy/src/instance_directory.ts
@@ -5,9 +5,17 @@
  */
 
 import type * as core from "@peridotvale/core";
+import * as signals from "./leave_signals.ts";
 
 /** Why an instance gets no new work. */
-export type LeaveReason = "draining" | "removed" | "misdirected" | "reported" | "seen_leaving";
+export type LeaveReason =
+  | "draining"
+  | "removed"
+  | "misdirected"
+  | "reported"
+  | "seen_leaving"
+  /** The instance stated in an answer that it leaves. */
+  | "signalled";
 
 /** Notice from one process to another that an instance leaves. */
 export interface LeaveNotice {
@@ -50,6 +58,7 @@
 /** Known state of endpoint instances, by id. */
 export class InstanceDirectory {
   readonly #instances = new Map<core.InstanceId, KnownInstance>();
+  readonly #leaveSignals = new signals.LeaveSignals();
   /** Until this time, missing entries are assumed to have expired during the store outage. */
   #graceUntil = -Infinity;
 
@@ -89,17 +98,22 @@
       knownInstance.record.endpoint !== record.endpoint;
     const drainReason = record.isDraining ? "draining" as const : undefined;
     if (knownInstance !== undefined && record.revision < knownInstance.revision) return [];
+    if (this.#isUndatedNewStart(record, knownInstance)) {
+      this.#leaveSignals.endSignal(record.instance);
+    }
+    const isSignalled = this.#leaveSignals.isLeaving(record);
     if (isNewIncarnation) {
+      const leaveReason = drainReason ?? (isSignalled ? "signalled" as const : undefined);
       const newInstance = {
         record,
-        leaveReason: drainReason,
+        leaveReason,
         leavingSince: now,
         changedAt: now,
         revision: record.revision,
         missingSince: undefined,
       };
       this.#instances.set(record.instance, newInstance);
-      if (drainReason !== undefined) return [{ type: "leaving", record, reason: drainReason }];
+      if (leaveReason !== undefined) return [{ type: "leaving", record, reason: leaveReason }];
       return [{ type: "added", record }];
     }
     const isNewer = record.revision > knownInstance.revision;
@@ -109,6 +123,8 @@
     knownInstance.missingSince = undefined;
     if (drainReason === knownInstance.leaveReason) return [];
     if (drainReason === undefined) {
+      // Its signal ends with its lifetime, whatever its entry says.
+      if (isSignalled) return [];
       // A misdirected instance gets no new work until it restarts.
       if (knownInstance.leaveReason === "misdirected") return [];
       // Only an entry newer than the leave notice revokes it.
@@ -145,6 +161,33 @@
     return this.#recordLeaving(knownInstance, "seen_leaving", now);
   }
 
+  /**
+   * Records that the instance of `record`, which a request was sent to, stated in its answer that it
+   * leaves. Ignores the statement of an earlier start than the one that is known.
+   */
+  recordLeaveSignal(record: core.EndpointRecord, now: number): InstanceChange[] {
+    const { instance, startedAt } = record;
+    return this.#applyLeaveSignal({ instance, startedAt, ageMs: 0 }, now);
+  }
+
+  /** Applies the statements that a peer reports. */
+  applyLeaveSignals(
+    reports: readonly signals.LeaveSignalReport[],
+    now: number,
+  ): InstanceChange[] {
+    return reports.flatMap((report) => this.#applyLeaveSignal(report, now));
+  }
+
+  /** Lists the statements learned after `since`, for reports to peers. */
+  listLeaveSignals(since: number, now: number): signals.LeaveSignalReport[] {
+    return this.#leaveSignals.listNews(since, now);
+  }
+
+  /** Number of starts that are remembered because they stated that they leave. */
+  get leaveSignalCount(): number {
+    return this.#leaveSignals.size;
+  }
+
   /** Lists entries first read or changed in the last `CHANGE_REPORT_MS`, for reports to peers. */
   listChangedRecords(now: number): core.EndpointRecord[] {
     const changedRecords: core.EndpointRecord[] = [];
@@ -160,9 +203,10 @@
   listLeaveNotices(now: number): LeaveNotice[] {
     const notices: LeaveNotice[] = [];
     for (const [instance, knownInstance] of this.#instances) {
-      if (knownInstance.leaveReason === undefined || knownInstance.leaveReason === "misdirected") {
-        continue;
-      }
+      const { leaveReason } = knownInstance;
+      if (leaveReason === undefined || leaveReason === "misdirected") continue;
+      // Reported with its age and its start instead.
+      if (leaveReason === "signalled") continue;
       if (now - knownInstance.leavingSince > LEAVE_NOTICE_MS) continue;
       notices.push({ instance, revision: knownInstance.revision });
     }
@@ -226,6 +270,37 @@
     return knownInstance !== undefined && knownInstance.leaveReason === undefined;
   }
 
+  #applyLeaveSignal(report: signals.LeaveSignalReport, now: number): InstanceChange[] {
+    const { instance, startedAt, ageMs } = report;
+    const knownInstance = this.#instances.get(instance);
+    const knownStart = knownInstance?.record.startedAt;
+    if (knownStart !== undefined && (startedAt === undefined || startedAt < knownStart)) return [];
+    const seenAt = now - ageMs;
+    // Without a time of its start, a statement from before the entry's last change may be about an
+    // earlier start.
+    if (startedAt === undefined && seenAt < (knownInstance?.changedAt ?? -Infinity)) return [];
+    this.#leaveSignals.recordSignal(instance, { startedAt, seenAt, learnedAt: now });
+    if (knownInstance === undefined || knownInstance.leaveReason !== undefined) return [];
+    return this.#recordLeaving(knownInstance, "signalled", now);
+  }
+
+  /**
+   * Whether `record`, which states no start, describes a new one: it says `ready` after its instance
+   * was removed or drained, or at another address.
+   */
+  #isUndatedNewStart(
+    record: core.EndpointRecord,
+    knownInstance: KnownInstance | undefined,
+  ): boolean {
+    if (record.startedAt !== undefined || knownInstance === undefined || record.isDraining) {
+      return false;
+    }
+    if (record.endpoint !== knownInstance.record.endpoint) return true;
+    const hadLeft = knownInstance.leaveReason === "draining" ||
+      knownInstance.leaveReason === "removed";
+    return hadLeft && record.revision > knownInstance.revision;
+  }
+
   #handleMissingEntry(
     knownInstance: KnownInstance,
     removal: { readonly revision: number; readonly now: number },
