A failed stream to an HTTP/1.0 caller ends with a reset

Such a caller gets neither a length nor chunks, so that the close of an aborted stream looked like the end of a complete one. second_head_test failed before (no error at the caller) and passes; a complete stream still ends with a close.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -80,6 +80,13 @@
     to: "return this",
     test: "platform/dist/endpoint_signals_test.js",
   },
+  {
+    name: "a failed stream without chunks ends with a reset",
+    file: "packages/gateway/src/open_request.ts",
+    from: "this.#response.socket?.resetAndDestroy();",
+    to: "",
+    test: "platform/dist/second_head_test.js",
+  },
   {
     name: "a call without a caller follows a shortened time-out",
     file: "packages/gateway/src/open_request.ts",
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -164,7 +164,12 @@
 
   /** Ends an incomplete stream by closing the connection, so that the caller sees the failure. */
   abortStream(end: RequestEnd): void {
-    if (this.#finish(end)) this.#response.destroy();
+    if (!this.#finish(end)) return;
+    // Without chunks, a close after the last bytes would look like the end of a complete stream.
+    if (this.isHeadSent && !this.#response.chunkedEncoding) {
+      this.#response.socket?.resetAndDestroy();
+    }
+    this.#response.destroy();
   }
 
   /**
