Small differences of latency do not decide between idle endpoints

Traced in virtual time: at a call every 75 ms, the rate of that test, endpoints are idle, so the score compares latencies alone. Of two equal endpoints with jitter the one with luckier answers got nearly all calls; in 33 of 60 seeds the other had less than a quarter in the last 4 s.

--- a/packages/bench/src/policy_mutations.ts
+++ b/packages/bench/src/policy_mutations.ts
@@ -95,6 +95,13 @@
     to: "retryAfterMs",
     test: "packages/policy/dist/hold_offs_test.js",
   },
+  {
+    name: "small differences of latency do not count",
+    file: "packages/policy/src/call_placement.ts",
+    from: "const isEqual = Math.abs(differenceMs) <= LATENCY_TOLERANCE * meanLatencyMs;",
+    to: "const isEqual = false;",
+    test: "packages/policy/dist/call_placement_test.js",
+  },
   {
     name: "status 503 is only returned for requests that have not run",
     file: "packages/policy/src/forward_retry.ts",
--- a/packages/policy/src/call_placement.ts
+++ b/packages/policy/src/call_placement.ts
@@ -50,6 +50,11 @@
 /** An endpoint is avoided once its oldest attempt has waited for this many mean latencies. */
 const SILENCE_LATENCY_COUNT = 6;
 const MIN_SILENCE_MS = 400;
+/**
+ * Share of the mean by which a latency must differ from it to count. The average of a few answers
+ * of equal endpoints differs by less; beside idle endpoints such a difference decided every choice.
+ */
+const LATENCY_TOLERANCE = 0.25;
 /** Weight of the failure share in the score; the lowest score is the best. */
 const FAILURE_WEIGHT = 8;
 /** Score factor of other zones: they are used once the own zone has about twice their load. */
@@ -131,8 +136,10 @@
     const slots = Math.max(1, candidate.slots);
     const load = (stats.openAttemptStarts.length + 1) / slots;
     const isTrialDue = stats.openAttemptStarts.length === 0 && isStale(stats, now);
-    const latencyMs = isTrialDue ? meanLatencyMs : meanLatencyMs +
-      computeDecayWeight(stats.lastAnswerAt, now) * (stats.latencyMs - meanLatencyMs);
+    const differenceMs = computeDecayWeight(stats.lastAnswerAt, now) *
+      (stats.latencyMs - meanLatencyMs);
+    const isEqual = Math.abs(differenceMs) <= LATENCY_TOLERANCE * meanLatencyMs;
+    const latencyMs = isTrialDue || isEqual ? meanLatencyMs : meanLatencyMs + differenceMs;
     const failureShare = stats.failureShare * computeDecayWeight(stats.lastAttemptEndAt, now);
     let score = latencyMs * load * (1 + FAILURE_WEIGHT * failureShare);
     if (candidate.zone !== zone) score *= REMOTE_ZONE_FACTOR;
--- a/packages/policy/src/call_placement_test.ts
+++ b/packages/policy/src/call_placement_test.ts
@@ -145,6 +145,27 @@
   t.end();
 });
 
+// At a low rate all endpoints are idle, and the one with the luckiest answers got nearly all calls.
+tap.t.test("equal endpoints share the calls of an idle service", (t) => {
+  const endpoints = [createEndpoint("first"), createEndpoint("second")];
+  for (let seed = 1; seed <= 60; seed += 1) {
+    const placement = new placements.CallPlacement();
+    const jitter = new core.SeededRandom(seed + 1_000);
+    const options = { zone: ZONE, random: new core.SeededRandom(seed), avoid: NO_INSTANCES };
+    let firstCount = 0;
+    for (let startedAt = 0; startedAt < 12_000; startedAt += 75) {
+      const { instance } = placement.chooseEndpoint(endpoints, startedAt, options)!;
+      if (startedAt >= 8_000 && instance === "first") firstCount += 1;
+      placement.recordStart(instance, startedAt);
+      const now = startedAt + Math.min(74, 22 - 10 * Math.log(1 - jitter.next()));
+      placement.recordEnd(instance, "answered", { startedAt, now });
+    }
+    const share = firstCount / (4_000 / 75);
+    t.ok(share > 0.25 && share < 0.75, `seed ${seed}: ${share} of the calls of the last 4 s`);
+  }
+  t.end();
+});
+
 // Attempts at an endpoint that hangs do not end, so its recorded latency and failure share do not
 // rise.
 tap.t.test("an endpoint that stops answering gets no calls while another one answers", (t) => {
