--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -91,6 +91,41 @@
     to: "clearTimeout(this.#deadlineTimer);",
     test: "platform/dist/stuck_calls_test.js",
   },
+  {
+    name: "generations that are placed together stay within the connection share",
+    file: "packages/gateway/src/stream_forwarder.ts",
+    from: "context.pool.holdConnection(endpoint.endpoint);",
+    to: "context.pool.holdConnection(`${endpoint.endpoint}0` as core.EndpointId);",
+    test: "platform/dist/connection_share_test.js",
+  },
+  {
+    name: "a request that has its answer gets no second one",
+    file: "packages/gateway/src/front_server.ts",
+    from: "connection?.lastRequest?.complete === false",
+    to: "connection === undefined",
+    test: "platform/dist/second_head_test.js",
+  },
+  {
+    name: "an endpoint that asked for a pause gets nothing",
+    file: "packages/gateway/src/signal_agent.ts",
+    from: "return !this.isHeldOff(endpoint) && this",
+    to: "return this",
+    test: "platform/dist/endpoint_signals_test.js",
+  },
+  {
+    name: "a failed stream without chunks ends with a reset",
+    file: "packages/gateway/src/open_request.ts",
+    from: "this.#response.socket?.resetAndDestroy();",
+    to: "",
+    test: "platform/dist/second_head_test.js",
+  },
+  {
+    name: "a call without a caller follows a shortened time-out",
+    file: "packages/gateway/src/open_request.ts",
+    from: "this.end !== undefined && !this.isCallerGone",
+    to: "this.end !== undefined",
+    test: "platform/dist/stuck_calls_test.js",
+  },
   {
     name: "a failure after the head of an answer breaks the stream off",
     file: "packages/gateway/src/open_request.ts",
@@ -136,8 +171,8 @@
   {
     name: "an engine's state report has the expected form",
     file: "platform/src/engine_client.ts",
-    from: "if (!report.success) return undefined;",
-    to: "if (!report.success) return { isLeaving: false };",
+    from: "return report.success ? report.output : undefined;",
+    to: "return report.success ? report.output : {};",
     test: "platform/dist/engine_answers_test.js",
   },
   {
@@ -199,7 +234,7 @@
   {
     name: "no process exceeds its share of a limit that an endpoint names",
     file: "packages/gateway/src/gateway.ts",
-    from: ".filter((record) => limitAgent.canSend(record.instance, now));",
+    from: ".filter((record) => signalAgent.canSend(record, now));",
     to: ";",
     test: "platform/dist/named_limit_test.js",
   },
@@ -262,8 +297,8 @@
   {
     name: "the number of connections to an endpoint stays within the process's share",
     file: "packages/gateway/src/connection_pool.ts",
-    from: "(this.#connectionCounts.get(endpoint) ?? 0) < maxConnections",
-    to: "maxConnections > 0",
+    from: "const unusedCount = idleCount + Math.max(0, maxConnections - countConnections());",
+    to: "const unusedCount = idleCount + maxConnections;",
     test: "packages/gateway/dist/connection_pool_test.js",
   },
   {
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -50,8 +50,6 @@
 
 /** Maximum size of an answer's body; an attempt with a larger answer fails as broken. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-/** Share of the time left until the deadline that an attempt may take if a retry may follow. */
-const ATTEMPT_TIME_SHARE = 0.5;
 const SERVER_ERROR_STATUS = 500;
 
 /** Forwards calls to endpoints and retries them within the retry budget. */
@@ -118,18 +116,13 @@
     history.triedInstances.add(endpoint.instance);
     request.endpoint = endpoint;
     const startedAt = this.#context.clock.now();
-    const remainingMs = request.getRemainingMs(startedAt);
-    const mayRetry = routed.route.kind === "idempotent" &&
-      history.ranAttempts + 1 < routed.route.maxAttempts;
-    const attemptTimeoutMs = mayRetry ? remainingMs * ATTEMPT_TIME_SHARE : Infinity;
     this.#context.callPlacement.recordStart(endpoint.instance, startedAt);
     this.#context.limitAgent.recordSend(endpoint.instance, startedAt);
     return new Promise((resolve) => {
       const call = new CallExchange({
         request,
         codec: this.#context.codec,
-        onLimit: (ratePerS) =>
-          this.#context.limitAgent.recordAnswer(endpoint.instance, { ratePerS, sentAt: startedAt }),
+        onAnswerHead: (head) => this.#context.signalAgent.recordAnswer(endpoint, head, startedAt),
         onEnd: (result) => {
           clearTimeout(timer);
           request.setCancelHandler(undefined);
@@ -150,9 +143,16 @@
           resolve(this.#convertServerError(routed, history, { result, connectionUse }));
         },
       });
-      const timer = Number.isFinite(attemptTimeoutMs)
-        ? setTimeout(() => call.abort("silent"), attemptTimeoutMs)
-        : undefined;
+      const scheduleCheck = (): NodeJS.Timeout | undefined => {
+        const attempt = createOpenAttempt(request, routed, history);
+        const waitMs = policy.computeEarlyRetryWaitMs(attempt, this.#context.clock.now());
+        if (waitMs === undefined) return undefined;
+        return setTimeout(() => {
+          if (this.#isRetryDue(request, routed, history)) call.abort("silent");
+          else timer = scheduleCheck();
+        }, waitMs);
+      };
+      let timer = scheduleCheck();
       request.setCancelHandler((reason) => {
         if (reason === "timeout") return call.abort("timeout");
         // A non-idempotent call continues without its caller, so that it runs to a definite end.
@@ -172,6 +172,21 @@
     });
   }
 
+  /** Whether the open attempt of `request` is to end now for a retry elsewhere. */
+  #isRetryDue(
+    request: requests.OpenRequest,
+    routed: requests.RoutedRequest,
+    history: AttemptHistory,
+  ): boolean {
+    const now = this.#context.clock.now();
+    const budget = this.#context.getRetryBudget(routed.service);
+    const means = {
+      hasEndpoint: this.#chooseEndpoint(routed, history) !== undefined,
+      hasBudget: budget.canRetry(now, this.#context.getProcessCount()),
+    };
+    return policy.isEndedEarly(createOpenAttempt(request, routed, history), means, now);
+  }
+
   /**
    * Converts a server error that answers an idempotent call to a failed attempt, because the
    * call may succeed at another endpoint. Returns other results unchanged.
@@ -222,27 +237,39 @@
     const isLate = history.lastFailureReason === "timeout" ||
       request.getRemainingMs(this.#context.clock.now()) <= 0;
     const status = policy.chooseFailureStatus(history.outcome, { isLate });
-    const limitWaitMs = this.#context.getLimitWaitMs(routed.service, this.#context.clock.now());
-    const isLimited = limitWaitMs > 0 && history.triedInstances.size === 0;
-    const reason = isLimited ? "endpoints_limited" : history.lastFailureReason;
+    const now = this.#context.clock.now();
+    const { waitMs, isHeldOff } = this.#context.signalAgent.getServiceWait(routed.service, now);
+    const isLimited = waitMs > 0 && history.triedInstances.size === 0;
+    const limitReason = isHeldOff ? "endpoints_held_off" : "endpoints_limited";
+    const reason = isLimited ? limitReason : history.lastFailureReason;
     const spreadMs = problems.drawRetryAfterMs(this.#context.random);
     request.sendProblem(problems.createRequestProblem(status, reason, {
       outcome: history.outcome,
       detail: isLimited
-        ? `the endpoints of ${routed.service} have limited their request rates`
+        ? `the endpoints of ${routed.service} have limited what they accept`
         : `no endpoint of ${routed.service} answered`,
-      retryAfterMs: status === 503 ? limitWaitMs + spreadMs : undefined,
+      retryAfterMs: status === 503 ? waitMs + spreadMs : undefined,
     }));
   }
 }
 
+function createOpenAttempt(
+  request: requests.OpenRequest,
+  routed: requests.RoutedRequest,
+  history: AttemptHistory,
+): policy.OpenAttempt {
+  const { kind, maxAttempts } = routed.route;
+  const { ranAttempts, refusedAttempts } = history;
+  return { kind, ranAttempts, refusedAttempts, maxAttempts, answerBy: request.answerBy };
+}
+
 /** One attempt of a call: sends the request and collects its answer. */
 class CallExchange implements pools.ExchangeListener {
   readonly #options: {
     readonly request: requests.OpenRequest;
     readonly codec: codec.HeaderCodec;
-    /** Called with the limit that the answer names, or undefined if it names none. */
-    readonly onLimit: (ratePerS: number | undefined) => void;
+    /** Called with the head of an answer that belongs to the request. */
+    readonly onAnswerHead: (head: codec.AnswerHead) => void;
     readonly onEnd: (result: AttemptResult) => void;
   };
   #exchange: pools.Exchange | undefined;
@@ -257,7 +284,7 @@
   constructor(options: {
     readonly request: requests.OpenRequest;
     readonly codec: codec.HeaderCodec;
-    readonly onLimit: (ratePerS: number | undefined) => void;
+    readonly onAnswerHead: (head: codec.AnswerHead) => void;
     readonly onEnd: (result: AttemptResult) => void;
   }) {
     this.#options = options;
@@ -289,11 +316,11 @@
   onHead(status: number, headers: codec.RawHeaders): void {
     this.#answerStatus = status;
     this.#answerHeaders = headers;
-    const { codec, onLimit } = this.#options;
+    const { codec, onAnswerHead } = this.#options;
     const head = codec.decodeAnswer(status, headers);
     this.#answerHead = head;
     const fault = this.#findFault();
-    if (fault?.outcome !== "unknown") onLimit(head.rateLimitPerS);
+    if (fault?.outcome !== "unknown") onAnswerHead(head);
   }
 
   onData(chunk: Buffer): void {
--- a/packages/gateway/src/evacuation_peer_test.ts
+++ b/packages/gateway/src/evacuation_peer_test.ts
@@ -121,6 +121,7 @@
             peers: [],
             quarantine: { crashes: [], soundParts: [] },
             limits: [],
+            leaving: [],
             ...(evacuations === undefined ? {} : { evacuations }),
             relayed: [],
           });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import * as handlers from "./request_handler.ts";
 import type * as stores from "./routing_store.ts";
 import * as storeAgents from "./store_agent.ts";
+import * as signalAgents from "./signal_agent.ts";
 import * as streams from "./stream_forwarder.ts";
 
 export interface GatewayOptions {
@@ -36,7 +37,7 @@
   readonly random: core.RandomSource;
 }
 
-/** Limits that processes share are divided by at least this number; some may be unknown. */
+/** The retry budget is divided by at least this number; some processes may be unknown. */
 const MIN_PROCESS_COUNT = 8;
 /** Interval between checks for expired instances and evidence. */
 const EXPIRY_CHECK_INTERVAL_MS = 200;
@@ -54,6 +55,7 @@
   readonly #peerAgent: peerAgents.PeerAgent;
   readonly #leaveWatcher: leaveWatchers.LeaveWatcher;
   readonly #announcer: announcers.Announcer;
+  readonly #processCount = new policy.ProcessCount();
   readonly #retryBudgets = new Map<core.ServiceName, policy.SlidingWindowRetryBudget>();
   #isDraining = false;
   #expiryTimer: NodeJS.Timeout | undefined;
@@ -233,6 +235,15 @@
     const config = new policy.ConfigRegister();
     const peerLoads = new policy.PeerLoads();
     const metrics = new core.Metrics();
+    const publishChanges = (changes: readonly policy.InstanceChange[]) =>
+      this.#publishChanges(changes);
+    const limitAgent = new limitAgents.LimitAgent({
+      clock,
+      logger,
+      random,
+      getFleetSize: () => this.#peerAgent.knownPeerCount + 1,
+      countPrecedingPeers: () => this.#peerAgent.countPrecedingPeers(),
+    });
     return {
       settings,
       clock,
@@ -246,12 +257,14 @@
       callPlacement: new policy.CallPlacement(),
       enginePlacement: new policy.EnginePlacement(peerLoads),
       peerLoads,
-      limitAgent: new limitAgents.LimitAgent({
+      limitAgent,
+      signalAgent: new signalAgents.SignalAgent({
         clock,
         logger,
-        random,
-        getFleetSize: () => this.#peerAgent.knownPeerCount + 1,
-        countPrecedingPeers: () => this.#peerAgent.countPrecedingPeers(),
+        directory,
+        limitAgent,
+        listUsableEndpoints: (service) => this.#listUsableEndpoints(service),
+        publishChanges,
       }),
       quarantineAgent: new quarantines.QuarantineAgent({
         store: this.#options.store,
@@ -268,11 +281,9 @@
       getProcessCount: () => Math.max(MIN_PROCESS_COUNT, this.#peerAgent.knownPeerCount + 1),
       getReportLagMs: () => this.#peerAgent.reportLagMs,
       recordClosingAnswer: (endpoint) => this.#leaveWatcher.recordClosingAnswer(endpoint),
-      publishChanges: (changes) => this.#publishChanges(changes),
+      publishChanges,
       getEngineProfile: (service) => config.inForce?.config.services.get(service)?.engine,
       listEndpoints: (service) => this.#listConnectableEndpoints(service),
-      getLimitWaitMs: (service, now) =>
-        this.#context.limitAgent.getWaitMs(this.#listUsableEndpoints(service), now),
       listEngines: (service) => {
         const profile = config.inForce?.config.services.get(service)?.engine;
         const records = this.#listConnectableEndpoints(service);
@@ -290,26 +301,25 @@
   }
 
   /**
-   * Returns the usable endpoints that this process may send to now: their own limits permit it, and
-   * there is an idle connection or room for another one. Each process may use an equal part of the
-   * service's connection limit.
+   * Returns the usable endpoints that this process may send to now: their own statements permit it,
+   * and there is an idle connection or room for another one in this process's share of the service's
+   * connection limit.
    */
   #listConnectableEndpoints(service: core.ServiceName): core.EndpointRecord[] {
-    const { config, pool, limitAgent } = this.#context;
+    const { config, pool, signalAgent } = this.#context;
     const now = this.#options.clock.now();
     const records = this.#listUsableEndpoints(service)
-      .filter((record) => limitAgent.canSend(record.instance, now));
+      .filter((record) => signalAgent.canSend(record, now));
     const maxConnections = config.inForce?.config.services.get(service)?.maxConnections;
     if (maxConnections === undefined) return records;
-    const connectionLimit = Math.max(
-      1,
-      Math.floor(maxConnections / this.#context.getProcessCount()),
-    );
+    const processCount = this.#countConnectionSharers(now);
+    const connectionLimit = policy.computeConnectionShare(maxConnections, processCount);
     return records.filter((record) => pool.canSend(record.endpoint, connectionLimit));
   }
 
   #createReport(now: number, scope: peerOptions.ReportScope): peerOptions.OwnReport {
-    const { enginePlacement, directory, config, quarantineAgent, limitAgent } = this.#context;
+    const { enginePlacement, directory, config, quarantineAgent, limitAgent, signalAgent } =
+      this.#context;
     const release = config.inForce?.config.release;
     return {
       loads: enginePlacement.listOwnLoads((instance) => this.#handOverAgent.getMoveValue(instance)),
@@ -317,6 +327,7 @@
       quarantine: quarantineAgent.listNews(scope, now),
       limits: limitAgent.listNews(scope, now),
       evacuations: this.#context.evacuationAgent.listEntries(),
+      leaving: signalAgent.listNews(scope, now),
       store: release === undefined ? undefined : {
         release,
         confirmAgeMs: config.getConfirmAgeMs(now),
@@ -340,6 +351,7 @@
     }
     this.#context.quarantineAgent.applyNews(report.quarantine, now);
     this.#context.limitAgent.applyNews(report.limits, now);
+    this.#context.signalAgent.applyNews(report.leaving, now);
     const { store } = report;
     if (store === undefined) return;
     // A peer that does not report evacuations may skip them, so that its revision needs a listing.
@@ -378,9 +390,19 @@
     const now = this.#options.clock.now();
     this.#context.quarantineAgent.expireEvidence(now);
     this.#context.limitAgent.expireLimits(now);
+    this.#context.signalAgent.expirePauses(now);
+    // Peaks between requests count too.
+    this.#countConnectionSharers(now);
     this.#publishChanges(this.#context.directory.expireInstances(now));
   }
 
+  /** Returns the number of processes that the connection limits of endpoints are divided by. */
+  #countConnectionSharers(now: number): number {
+    const { listedAt } = this.#storeAgent;
+    const isStarting = listedAt === undefined || policy.isLinking(listedAt, now);
+    return this.#processCount.getCount(this.#peerAgent.knownPeerCount + 1, { isStarting, now });
+  }
+
   #getRetryBudget(service: core.ServiceName): policy.SlidingWindowRetryBudget {
     let budget = this.#retryBudgets.get(service);
     if (budget === undefined) {
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -9,6 +9,7 @@
 import type * as limitAgents from "./limit_agent.ts";
 import type * as quarantines from "./quarantine_agent.ts";
 import type * as settingsModule from "./gateway_settings.ts";
+import type * as signalAgents from "./signal_agent.ts";
 
 export interface GatewayContext {
   /** Replaced when the settings are reloaded. */
@@ -26,19 +27,18 @@
   /** Load that other gateway processes place on engines. */
   readonly peerLoads: policy.PeerLoads;
   readonly limitAgent: limitAgents.LimitAgent;
+  readonly signalAgent: signalAgents.SignalAgent;
   readonly quarantineAgent: quarantines.QuarantineAgent;
   readonly evacuationAgent: evacuations.EvacuationAgent;
   readonly engineControl: controls.EngineControl;
   readonly engineStarts: policy.EngineStarts;
   /** Returns the endpoints of `service` that may receive new requests. */
   listEndpoints(service: core.ServiceName): core.EndpointRecord[];
-  /** Returns the time until a limit of an endpoint of `service` permits a request; 0 if one does. */
-  getLimitWaitMs(service: core.ServiceName, now: number): number;
   /** Returns the engines of `service` that may receive new generations. */
   listEngines(service: core.ServiceName): policy.EngineCandidate[];
   getEngineProfile(service: core.ServiceName): core.EngineProfile | undefined;
   getRetryBudget(service: core.ServiceName): policy.SlidingWindowRetryBudget;
-  /** Returns the number of processes that share retry and connection limits, including this one. */
+  /** Returns the number of processes that share the retry budget, including this one. */
   getProcessCount(): number;
   /** Returns the age of other processes' loads when they arrive, if it matters for placement. */
   getReportLagMs(): number;
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -122,9 +122,8 @@
     this.request.startStream(status, headers);
   }
 
-  onLimit(ratePerS: number | undefined): void {
-    const answer = { ratePerS, sentAt: this.#sentAt };
-    this.#context.limitAgent.recordAnswer(this.endpoint.instance, answer);
+  onAnswerHead(head: codec.AnswerHead): void {
+    this.#context.signalAgent.recordAnswer(this.endpoint, head, this.#sentAt);
   }
 
   onEvents(events: readonly splitters.StreamEvent[]): void {
@@ -198,6 +197,10 @@
       if (preCopy.isErr()) return this.#failMove("copy_ahead_failed", target, preCopy.error.type);
       if (source.hasEnded) return this.#failMove("ended_before", target, undefined);
       if (!this.#canReceive(target)) return this.#failMove("evacuated", target, undefined);
+      const isHeldOff = [source.endpoint, target].some((endpoint) =>
+        this.#context.signalAgent.isHeldOff(endpoint)
+      );
+      if (isHeldOff) return this.#failMove("held_off", target, undefined);
       return await this.#stopAndMove(source, target);
     } finally {
       this.#moveTarget = undefined;
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -114,7 +114,8 @@
   updateAnswerBy(answerBy: number, now: number): void {
     this.answerBy = answerBy;
     clearTimeout(this.#deadlineTimer);
-    if (this.end !== undefined) return;
+    // A call that goes on without its caller still needs its deadline.
+    if (this.end !== undefined && !this.isCallerGone) return;
     this.#deadlineTimer = setTimeout(
       () => this.#cancelHandler?.("timeout"),
       Math.max(0, answerBy - now),
@@ -172,7 +173,12 @@
 
   /** Ends an incomplete stream by closing the connection, so that the caller sees the failure. */
   abortStream(end: RequestEnd): void {
-    if (this.#finish(end)) this.#response.destroy();
+    if (!this.#finish(end)) return;
+    // Without chunks, a close after the last bytes would look like the end of a complete stream.
+    if (this.isHeadSent && !this.#response.chunkedEncoding) {
+      this.#response.socket?.resetAndDestroy();
+    }
+    this.#response.destroy();
   }
 
   /**
--- a/packages/gateway/src/peer_agent_options.ts
+++ b/packages/gateway/src/peer_agent_options.ts
@@ -14,6 +14,7 @@
   readonly limits: readonly policy.LimitReport[];
   /** All known evacuations of zones; an empty list states that the sender knows of none. */
   readonly evacuations: readonly policy.ZoneEvacuation[];
+  readonly leaving: readonly policy.LeaveSignalReport[];
 }
 
 /** When a peer's report arrived, and how it relates to earlier reports. */
--- a/packages/gateway/src/peer_agent_test.ts
+++ b/packages/gateway/src/peer_agent_test.ts
@@ -52,6 +52,7 @@
         quarantine: { crashes: [], soundParts: [] },
         limits: [],
         evacuations: [],
+        leaving: [],
       }),
       onReport: () => {},
       getReportRefreshIntervalMs: () => 500,
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -25,7 +25,8 @@
   | "caller_gone"
   | "no_engine_in_time"
   | "no_other_engine"
-  | "prompt_quarantined";
+  | "prompt_quarantined"
+  | "endpoints_held_off";
 
 interface EngineWaiter {
   readonly openRequest: requests.OpenRequest;
@@ -86,9 +87,12 @@
     context.getRetryBudget(routed.service).recordRequest(context.clock.now());
     for (;;) {
       const generation = this.#createWaiting(request, routed, attempts);
-      const endpoint = attempts.takeReplacement() ??
+      const replacement = attempts.takeReplacement();
+      const endpoint = replacement ??
         await this.#acquireEngine(request, routed, { generation, attempts });
-      if (typeof endpoint === "string") return this.#refuse(request, endpoint, attempts);
+      if (typeof endpoint === "string") return this.#refuse(request, routed, endpoint, attempts);
+      // The relay sends the request before anything else is placed.
+      if (replacement === undefined) context.pool.releaseReservation(endpoint.endpoint);
       if (request.end !== undefined) {
         return context.enginePlacement.recordEnd(endpoint.instance, request.id);
       }
@@ -97,7 +101,7 @@
       if (attempts.replacement !== undefined) continue;
       const mayRepeat = failure.outcome === "not_run" || routed.route.isResumable;
       if (!mayRepeat || !this.#decideRetry(request, routed, { failure, endpoint, attempts })) {
-        return this.#refuse(request, failure.reason, attempts);
+        return this.#refuse(request, routed, failure.reason, attempts);
       }
     }
   }
@@ -138,6 +142,7 @@
     const isRepeated = attempts.ranAttempts > 0;
     if (isRepeated && !this.#hasOtherEngine(routed.service, avoid)) return "no_other_engine";
     if (this.#isQuarantined(request, now)) return "prompt_quarantined";
+    if (context.signalAgent.getPauseMs(generation.service, now) > 0) return "endpoints_held_off";
     if (this.#queue.isTooLate(generation, now)) return "no_engine_in_time";
     return await new Promise((resolve) => {
       // A repeated request is of no use once its caller has abandoned the stream.
@@ -192,10 +197,12 @@
       // The load is recorded before the relay starts, so that the next choice includes it.
       context.enginePlacement.recordStart(endpoint.instance, generation.request, generation.size);
       context.limitAgent.recordSend(endpoint.instance, now);
+      context.pool.holdConnection(endpoint.endpoint);
       hasPlacedGeneration = true;
       this.#settleWaiter(generation.request, endpoint);
       return true;
     });
+    this.#refuseHeldOff(now);
     for (const rejected of this.#queue.takeLateGenerations(now)) {
       this.#settleWaiter(rejected.request, "no_engine_in_time");
     }
@@ -205,6 +212,18 @@
     this.#schedulePlacement();
   }
 
+  /** Refuses waiting generations of services whose engines have all asked for a pause. */
+  #refuseHeldOff(now: number): void {
+    const { signalAgent } = this.#options.context;
+    if (signalAgent.heldOffCount === 0) return;
+    for (const [id, { openRequest }] of this.#waiters) {
+      const service = openRequest.routed?.service;
+      if (service === undefined || signalAgent.getPauseMs(service, now) === 0) continue;
+      this.#queue.removeGeneration(id);
+      this.#settleWaiter(id, "endpoints_held_off");
+    }
+  }
+
   #schedulePlacement(): void {
     if (this.#queue.size === 0 || this.#placementTimer !== undefined) return;
     const jitter = 0.5 + this.#options.context.random.next();
@@ -307,12 +326,14 @@
   /** Answers a request that no further attempt is made at. */
   #refuse(
     request: requests.OpenRequest,
+    routed: requests.RoutedRequest,
     reason: string,
     attempts: streamAttempts.StreamAttempts,
   ): void {
     if (attempts.outcome !== "not_run") return this.#answerFailure(request, reason, attempts);
-    const { quarantineAgent, clock, random } = this.#options.context;
+    const { quarantineAgent, signalAgent, clock, random } = this.#options.context;
     const now = clock.now();
+    const pauseMs = signalAgent.getPauseMs(routed.service, now);
     const quarantined = quarantineAgent.findQuarantined(promptParts.listSharedParts(request), now);
     request.sendProblem(problems.createRequestProblem(503, reason, {
       outcome: "not_run",
@@ -321,7 +342,7 @@
         : "engines crashed on a part of this prompt; it is not sent to further ones",
       // An earlier return would be refused again.
       retryAfterMs: quarantined === undefined
-        ? problems.drawRetryAfterMs(random)
+        ? pauseMs + problems.drawRetryAfterMs(random)
         : quarantined.until - now,
     }));
   }
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -95,6 +95,8 @@
    * does not report them.
    */
   readonly evacuations?: readonly policy.ZoneEvacuation[];
+  /** Starts of endpoints of which the sender learned recently that they stated they leave. */
+  readonly leaving: readonly policy.LeaveSignalReport[];
   /** Loads of other processes that the sender, a hub, passes on since its last report. */
   readonly relayed: readonly policy.RelayedLoads[];
 }
