Limit the requests to cold endpoints

A cold endpoint crashes above its rate; ColdStartS, ColdPerS, ColdLeftMs and X-Cold-Ms were not used. ColdLimits tracks which endpoints are cold, FleetEstimate how many processes share their rate, and EndpointLimits applies the slowest of the named limit and this permit.

--- a/packages/core/src/routing_config.ts
+++ b/packages/core/src/routing_config.ts
@@ -54,6 +54,10 @@
   readonly maxConnections: number;
   /** Path of the health check, which fails if an endpoint is unhealthy or about to leave. */
   readonly healthPath: string;
+  /** Time for which an endpoint is cold after a start under traffic; 0 if it never is. */
+  readonly coldStartMs: number;
+  /** Requests per second that a cold endpoint accepts from all processes together; 0: no limit. */
+  readonly coldPerS: number;
   /** Set if the endpoints are model engines. */
   readonly engine: EngineProfile | undefined;
 }
@@ -102,6 +106,6 @@
   readonly startedAt: number | undefined;
   /** Store revision at which the entry was written. */
   readonly revision: number;
-  /** Remaining warm-up time after the start, during which the instance is slow. */
-  readonly coldLeftMs: number;
+  /** Time for which the instance stays cold, from the entry; undefined if it does not say so. */
+  readonly coldLeftMs: number | undefined;
 }
--- a/packages/gateway/src/announcer.ts
+++ b/packages/gateway/src/announcer.ts
@@ -11,6 +11,8 @@
   readonly self: stores.AnnouncedPeer;
   readonly logger: core.Logger;
   readonly random: core.RandomSource;
+  /** Called when the store has acknowledged the announcement. */
+  readonly onPublished: () => void;
 }
 
 /**
@@ -53,7 +55,10 @@
       this.#options.self,
       ANNOUNCEMENT_TTL_MS,
     );
-    if (publishResult.isOk()) return publishResult.value;
+    if (publishResult.isOk()) {
+      this.#options.onPublished();
+      return publishResult.value;
+    }
     this.#options.logger.write("announce_failed", {
       reason: publishResult.error.type,
       detail: publishResult.error.detail,
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -123,7 +123,7 @@
       history.ranAttempts + 1 < routed.route.maxAttempts;
     const attemptTimeoutMs = mayRetry ? remainingMs * ATTEMPT_TIME_SHARE : Infinity;
     this.#context.callPlacement.recordStart(endpoint.instance, startedAt);
-    this.#context.limitAgent.recordSend(endpoint.instance, startedAt);
+    this.#context.limitAgent.recordSend(endpoint, startedAt);
     return new Promise((resolve) => {
       const call = new CallExchange({
         request,
--- a/packages/gateway/src/engine_control.ts
+++ b/packages/gateway/src/engine_control.ts
@@ -43,6 +43,8 @@
   readonly isHealthy: boolean;
   /** Instance that answered the probe; undefined if the answer does not name it. */
   readonly instance: core.InstanceId | undefined;
+  /** Time for which the endpoint stays cold; undefined if the answer does not state it. */
+  readonly coldLeftMs: number | undefined;
 }
 
 /** Client for the calls that the gateway makes in addition to forwarding callers' requests. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -87,6 +87,7 @@
       self: { process, zone, address: this.#peerAgent.address, linkMbps },
       logger: options.logger,
       random: options.random,
+      onPublished: () => this.#context.limitAgent.recordAnnouncement(options.clock.now()),
     });
     this.#storeAgent = new storeAgents.StoreAgent({
       store: options.store,
@@ -246,8 +247,13 @@
         clock,
         logger,
         random,
+        self: { process: settings.process, zone: settings.zone },
         getFleetSize: () => this.#peerAgent.knownPeerCount + 1,
         countPrecedingPeers: () => this.#peerAgent.countPrecedingPeers(),
+        listKnownPeers: () => this.#peerAgent.listKnownPeers(),
+        getBounds: () => this.#context.settings.bounds,
+        getListedAt: () => this.#storeAgent.listedAt,
+        getService: (service) => config.inForce?.config.services.get(service),
       }),
       quarantineAgent: new quarantines.QuarantineAgent({
         store: this.#options.store,
@@ -285,7 +291,7 @@
     const { config, directory, pool, limitAgent } = this.#context;
     const now = this.#options.clock.now();
     const records = directory.listUsableEndpoints(service)
-      .filter((record) => limitAgent.canSend(record.instance, now));
+      .filter((record) => limitAgent.canSend(record, now));
     const maxConnections = config.inForce?.config.services.get(service)?.maxConnections;
     if (maxConnections === undefined) return records;
     const connectionLimit = Math.max(
@@ -359,7 +365,7 @@
   #expireEntries(): void {
     const now = this.#options.clock.now();
     this.#context.quarantineAgent.expireEvidence(now);
-    this.#context.limitAgent.expireLimits(now);
+    this.#context.limitAgent.update(this.#context.directory.listUsableInstances(), now);
     this.#publishChanges(this.#context.directory.expireInstances(now));
   }
 
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -50,6 +50,7 @@
     "Endpoints that name a limit on their request rate.",
     () => limitAgent.limitedCount,
   );
+  register("cold_endpoints", "Endpoints with the rate of a cold one.", () => limitAgent.coldCount);
   register("opened_connections", "Connections to endpoints.", () => pool.openedCount);
   register("open_links", "Links to other processes.", () => peerAgent.linkCount);
   register("linked_processes", "Processes that report.", () => peerLoads.processCount);
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -20,6 +20,8 @@
   /** Time from SIGTERM to SIGKILL. */
   readonly gracePeriodMs: number;
   readonly retries: policy.RetryBounds;
+  /** What a cold endpoint may receive in a second; the default bounds if absent. */
+  readonly cold?: policy.ColdBounds;
 }
 
 export interface GatewaySettings {
--- a/packages/gateway/src/hand_over_agent.ts
+++ b/packages/gateway/src/hand_over_agent.ts
@@ -135,7 +135,7 @@
       });
       return;
     }
-    context.limitAgent.recordSend(target.instance, context.clock.now());
+    context.limitAgent.recordSend(target, context.clock.now());
     if (await relay.moveTo(target)) return;
     plan.failedMoveCounts.set(run.request, failureCount + 1);
     failedTargets.add(target.instance);
--- a/packages/gateway/src/leave_watcher.ts
+++ b/packages/gateway/src/leave_watcher.ts
@@ -73,6 +73,9 @@
     if (health.instance !== undefined && health.instance !== instance) {
       return context.publishChanges(context.directory.recordMisdirected(instance, now));
     }
+    if (health.coldLeftMs !== undefined) {
+      context.limitAgent.recordColdStatement(instance, health.coldLeftMs, now);
+    }
     if (health.isHealthy) return;
     context.publishChanges(context.directory.recordAnnouncedLeaving(instance, now));
   }
--- a/packages/gateway/src/limit_agent.ts
+++ b/packages/gateway/src/limit_agent.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps this process to its share of the limits that endpoints name in their answers, and exchanges
- * these limits with the other processes.
+ * Keeps this process to its share of the rates that endpoints accept: the limits that they name in
+ * their answers, which it exchanges with the other processes, and the rates of cold endpoints.
  */
 
 import type * as core from "@peridotvale/core";
@@ -10,22 +10,35 @@
   readonly clock: core.Clock;
   readonly logger: core.Logger;
   readonly random: core.RandomSource;
+  readonly self: policy.FleetMember;
   /** Returns the number of processes that share a limit, including this one. */
   readonly getFleetSize: () => number;
   /** Returns the number of known processes whose names precede this one's. */
   readonly countPrecedingPeers: () => number;
+  readonly listKnownPeers: () => readonly policy.FleetMember[];
+  readonly getBounds: () => { readonly cold?: policy.ColdBounds };
+  /** Returns the time of the first listing of the store; undefined before it. */
+  readonly getListedAt: () => number | undefined;
+  readonly getService: (service: core.ServiceName) => core.RoutedService | undefined;
 }
 
 /** Time for which reports contain news, since a single report may be lost. */
 const NEWS_REPORT_MS = 1_500;
+/** Time from the first listing within which its entries are observed. */
+const FIRST_LISTING_MS = 500;
 
 export class LimitAgent {
   readonly #options: LimitAgentOptions;
   readonly #limits: policy.EndpointLimits;
+  readonly #coldLimits = new policy.ColdLimits();
+  readonly #fleet: policy.FleetEstimate;
+  /** Endpoints that were found cold at the last update. */
+  readonly #coldInstances = new Set<core.InstanceId>();
 
   constructor(options: LimitAgentOptions) {
     this.#options = options;
     this.#limits = new policy.EndpointLimits(options.random);
+    this.#fleet = new policy.FleetEstimate(options.self);
   }
 
   /** Number of endpoints that name a limit. */
@@ -33,6 +46,11 @@
     return this.#limits.size;
   }
 
+  /** Number of cold endpoints. */
+  get coldCount(): number {
+    return this.#coldInstances.size;
+  }
+
   /** Records the limit that an answer names, or that it names none. */
   recordAnswer(instance: core.InstanceId, answer: policy.AnswerLimit): void {
     // Most answers name no limit, and no limit is known.
@@ -42,14 +60,15 @@
     if (change !== undefined) this.#writeChange(change);
   }
 
-  /** Whether this process may send a request to `instance`. */
-  canSend(instance: core.InstanceId, now: number): boolean {
-    return this.#limits.canSend(instance, this.#options.getFleetSize(), now);
+  /** Whether this process may send a request to `endpoint`. */
+  canSend(endpoint: core.EndpointRecord, now: number): boolean {
+    return this.#getWaitMs(endpoint, now) === 0;
   }
 
-  /** Records that this process sends a request to `instance`. */
-  recordSend(instance: core.InstanceId, now: number): void {
-    this.#limits.recordSend(instance, this.#options.getFleetSize(), now);
+  /** Records that this process sends a request to `endpoint`. */
+  recordSend(endpoint: core.EndpointRecord, now: number): void {
+    const permit = this.#getPermit(endpoint, now);
+    this.#limits.recordSend(endpoint.instance, this.#options.getFleetSize(), now, permit);
   }
 
   /**
@@ -57,8 +76,7 @@
    * one now or there is none.
    */
   getWaitMs(endpoints: readonly core.EndpointRecord[], now: number): number {
-    const fleetSize = this.#options.getFleetSize();
-    const waits = endpoints.map(({ instance }) => this.#limits.getWaitMs(instance, fleetSize, now));
+    const waits = endpoints.map((endpoint) => this.#getWaitMs(endpoint, now));
     return waits.length === 0 ? 0 : Math.min(...waits);
   }
 
@@ -73,12 +91,80 @@
     for (const change of this.#limits.applyNews(reports, options)) this.#writeChange(change);
   }
 
+  /** Records the time for which a health answer says that its endpoint stays cold. */
+  recordColdStatement(instance: core.InstanceId, coldLeftMs: number, now: number): void {
+    this.#coldLimits.recordStatement(instance, coldLeftMs, now);
+  }
+
+  /**
+   * Counts the endpoints of `zone` as cold from now on, as after the end of an evacuation. Entries
+   * above `revision`, the store revision of its end, may state another time.
+   */
+  recordZoneRestored(zone: core.ZoneName, now: number, revision?: number): void {
+    this.#coldLimits.recordZoneRestored(zone, now, revision);
+  }
+
+  /** Records that the store has acknowledged the announcement of this process. */
+  recordAnnouncement(now: number): void {
+    this.#fleet.recordAnnouncement(now);
+  }
+
   dropInstance(instance: core.InstanceId): void {
     this.#limits.dropInstance(instance);
+    this.#coldLimits.recordLeft(instance, this.#options.clock.now());
   }
 
-  expireLimits(now: number): void {
+  /** Observes the known processes and endpoints, and drops what has expired. */
+  update(endpoints: Iterable<core.EndpointRecord>, now: number): void {
+    this.#fleet.recordPeers(this.#options.listKnownPeers(), now);
+    const coldBefore = new Set(this.#coldInstances);
+    for (const endpoint of endpoints) {
+      this.#observeRecord(endpoint, now);
+      const { instance } = endpoint;
+      const coldMs = this.#getColdMs(endpoint, now);
+      if (coldMs <= 0) continue;
+      if (!coldBefore.delete(instance)) this.#writeCold(endpoint, coldMs);
+      this.#coldInstances.add(instance);
+    }
+    for (const instance of coldBefore) {
+      this.#coldInstances.delete(instance);
+      this.#options.logger.write("endpoint_warm", { instance });
+    }
     this.#limits.expireLimits(now);
+    this.#coldLimits.expireStates(now);
+  }
+
+  #getWaitMs(endpoint: core.EndpointRecord, now: number): number {
+    const permit = this.#getPermit(endpoint, now);
+    if (permit === undefined && this.#limits.size === 0) return 0;
+    return this.#limits.getWaitMs(endpoint.instance, this.#options.getFleetSize(), now, permit);
+  }
+
+  #getPermit(endpoint: core.EndpointRecord, now: number): policy.SendPermit | undefined {
+    const service = this.#options.getService(endpoint.service);
+    if (service === undefined || !(service.coldPerS > 0)) return undefined;
+    this.#observeRecord(endpoint, now);
+    if (this.#coldLimits.getColdUntil(endpoint.instance, service) <= now) return undefined;
+    const bounds = this.#options.getBounds().cold ?? policy.DEFAULT_COLD_BOUNDS;
+    const pool = this.#fleet.getPool(endpoint.zone, now);
+    return policy.createColdPermit(service.coldPerS, pool, bounds);
+  }
+
+  /** Returns the time for which `endpoint` still accepts only the rate of a cold one. */
+  #getColdMs(endpoint: core.EndpointRecord, now: number): number {
+    const service = this.#options.getService(endpoint.service);
+    if (service === undefined || !(service.coldPerS > 0)) return 0;
+    return this.#coldLimits.getColdUntil(endpoint.instance, service) - now;
+  }
+
+  #observeRecord(endpoint: core.EndpointRecord, now: number): void {
+    if (!this.#coldLimits.isNews(endpoint)) return;
+    const listedAt = this.#options.getListedAt();
+    this.#coldLimits.observeRecord(endpoint, {
+      now,
+      wallTime: this.#options.clock.readWallTime(),
+      isFirstListing: listedAt === undefined || now - listedAt <= FIRST_LISTING_MS,
+    });
   }
 
   #getPlace(): policy.FleetPlace {
@@ -86,6 +172,17 @@
     return { size: getFleetSize(), rank: countPrecedingPeers() };
   }
 
+  #writeCold(endpoint: core.EndpointRecord, coldMs: number): void {
+    const pool = this.#fleet.getPool(endpoint.zone, this.#options.clock.now());
+    this.#options.logger.write("endpoint_cold", {
+      instance: endpoint.instance,
+      per_s: this.#options.getService(endpoint.service)?.coldPerS,
+      left_ms: Math.round(coldMs),
+      share: pool.share,
+      processes: pool.size,
+    });
+  }
+
   #writeChange(change: policy.LimitChange): void {
     const event = change.ratePerS === undefined ? "limit_ended" : "limit_named";
     this.#options.logger.write(event, { instance: change.instance, per_s: change.ratePerS });
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -93,6 +93,11 @@
     return this.#registry.size;
   }
 
+  /** Lists the other processes that are known, whether linked or not. */
+  listKnownPeers(): peers.ProcessAddress[] {
+    return this.#registry.listAddresses();
+  }
+
   /** Returns the number of known processes whose names precede this one's. */
   countPrecedingPeers(): number {
     const { process } = this.#options.settings;
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -141,7 +141,7 @@
       if (endpoint === undefined) return false;
       // The load is recorded before the relay starts, so that the next choice includes it.
       context.enginePlacement.recordStart(endpoint.instance, generation.request, generation.size);
-      context.limitAgent.recordSend(endpoint.instance, now);
+      context.limitAgent.recordSend(endpoint, now);
       hasPlacedGeneration = true;
       this.#settleWaiter(generation.request, endpoint);
       return true;
--- a/packages/policy/src/endpoint_limits.ts
+++ b/packages/policy/src/endpoint_limits.ts
@@ -1,7 +1,8 @@
 /**
- * Keeps each process to its share of the request rates that endpoints in need name in their
- * answers. Answers an endpoint at its limit that many processes send to at once: such a limit is
- * for all of them together, and holds until an answer to a later request names none.
+ * Keeps each process to its share of the request rates that endpoints accept: the limits that they
+ * name in their answers, and the rates of further sources, such as the one of a cold endpoint. The
+ * lowest applies. Answers an endpoint at its limit that many processes send to at once: such a limit
+ * is for all of them together. A named limit holds until an answer to a later request names none.
  */
 
 import * as core from "@peridotvale/core";
@@ -34,14 +35,34 @@
   readonly rank: number;
 }
 
-interface NamedLimit {
+/** What a source other than the named limits permits this process now at one endpoint. */
+export interface SendPermit {
+  /** Time between two requests of this process. */
+  readonly intervalMs: number;
+  /** Time for which a permitted send may wait for a request. */
+  readonly validityMs: number;
+  /** Place of this process among those that share the rate. */
+  readonly place: FleetPlace;
+}
+
+/** The sends of this process to one endpoint, at equal intervals. */
+interface SendSchedule {
+  /** Time of this process's next permitted send, unless later cycles apply. */
+  nextSendAt: number;
+}
+
+interface NamedLimit extends SendSchedule {
   ratePerS: number;
   /** Time of the last answer that named it, here or at a peer. */
   namedAt: number;
   /** Time at which it, or news of it that peers need, became known here. */
   learnedAt: number;
-  /** Time of this process's next permitted send, unless later cycles apply. */
-  nextSendAt: number;
+}
+
+interface PermitSchedule extends SendSchedule {
+  /** Interval with which the phase was drawn. */
+  drawnIntervalMs: number;
+  usedAt: number;
 }
 
 interface EndedLimit {
@@ -62,11 +83,17 @@
 const SEND_VALIDITY_MS = 2_000;
 /** Unused time that a process may catch up with when its share is large. */
 const BURST_MS = 500;
+/**
+ * Change of a permit's interval, as a factor, from which its phase is drawn anew. With the old
+ * phase, the next send could be too far away or coincide with those of other processes.
+ */
+const REDRAW_FACTOR = 1.25;
 
-/** Limits in force, by instance, and this process's share of them. */
+/** Rates in force, by instance, and this process's share of them. */
 export class EndpointLimits {
   readonly #limits = new Map<core.InstanceId, NamedLimit>();
   readonly #ended = new Map<core.InstanceId, EndedLimit>();
+  readonly #permits = new Map<core.InstanceId, PermitSchedule>();
   readonly #random: core.RandomSource;
 
   constructor(random: core.RandomSource) {
@@ -78,33 +105,53 @@
     return this.#limits.size;
   }
 
-  /** Returns the time until this process may send a request to `instance`; 0 if it may now. */
-  getWaitMs(instance: core.InstanceId, fleetSize: number, now: number): number {
+  /**
+   * Returns the time until this process may send a request to `instance`; 0 if it may now. `permit`
+   * is the slowest of the other sources. Of it and the named limit, the slower one applies.
+   */
+  getWaitMs(
+    instance: core.InstanceId,
+    fleetSize: number,
+    now: number,
+    permit?: SendPermit,
+  ): number {
     const limit = this.#limits.get(instance);
-    if (limit === undefined) return 0;
-    const intervalMs = computeIntervalMs(limit, fleetSize);
-    const elapsedMs = now - limit.nextSendAt;
-    if (elapsedMs < 0) return -elapsedMs;
-    if (!Number.isFinite(intervalMs)) return LIMIT_RETENTION_MS;
-    const cycleMs = elapsedMs % intervalMs;
-    return cycleMs <= SEND_VALIDITY_MS ? 0 : intervalMs - cycleMs;
+    if (limit === undefined && permit === undefined) return 0;
+    const limitIntervalMs = limit === undefined ? 0 : computeIntervalMs(limit, fleetSize);
+    const validityMs = permit?.validityMs ?? SEND_VALIDITY_MS;
+    if (permit !== undefined && permit.intervalMs >= limitIntervalMs) {
+      const schedule = this.#getPermitSchedule(instance, permit, now);
+      return computeWaitMs(schedule, { intervalMs: permit.intervalMs, validityMs, now });
+    }
+    return computeWaitMs(limit!, { intervalMs: limitIntervalMs, validityMs, now });
   }
 
   /** Whether this process may send a request to `instance`. */
-  canSend(instance: core.InstanceId, fleetSize: number, now: number): boolean {
-    return this.getWaitMs(instance, fleetSize, now) === 0;
+  canSend(
+    instance: core.InstanceId,
+    fleetSize: number,
+    now: number,
+    permit?: SendPermit,
+  ): boolean {
+    return this.getWaitMs(instance, fleetSize, now, permit) === 0;
   }
 
   /** Records that this process sends a request to `instance`. */
-  recordSend(instance: core.InstanceId, fleetSize: number, now: number): void {
+  recordSend(
+    instance: core.InstanceId,
+    fleetSize: number,
+    now: number,
+    permit?: SendPermit,
+  ): void {
     const limit = this.#limits.get(instance);
-    if (limit === undefined) return;
-    const intervalMs = computeIntervalMs(limit, fleetSize);
-    if (!Number.isFinite(intervalMs)) return;
-    const elapsedMs = Math.max(0, now - limit.nextSendAt);
-    const cycleStart = limit.nextSendAt + Math.floor(elapsedMs / intervalMs) * intervalMs;
-    const earliestBase = intervalMs > SEND_VALIDITY_MS ? cycleStart : now - BURST_MS;
-    limit.nextSendAt = Math.max(limit.nextSendAt, earliestBase) + intervalMs;
+    if (limit !== undefined) {
+      const intervalMs = computeIntervalMs(limit, fleetSize);
+      shiftSchedule(limit, { intervalMs, validityMs: SEND_VALIDITY_MS, burstMs: BURST_MS, now });
+    }
+    if (permit === undefined) return;
+    const { intervalMs, validityMs } = permit;
+    const schedule = this.#getPermitSchedule(instance, permit, now);
+    shiftSchedule(schedule, { intervalMs, validityMs, burstMs: validityMs, now });
   }
 
   /** Records an answer's limit, or that it names none. */
@@ -161,6 +208,7 @@
   dropInstance(instance: core.InstanceId): void {
     this.#limits.delete(instance);
     this.#ended.delete(instance);
+    this.#permits.delete(instance);
   }
 
   /** Drops limits that have not been named for a while. */
@@ -171,6 +219,10 @@
     for (const [instance, { learnedAt }] of this.#ended) {
       if (now - learnedAt > ENDED_RETENTION_MS) this.#ended.delete(instance);
     }
+    for (const [instance, { usedAt, drawnIntervalMs }] of this.#permits) {
+      const retentionMs = Math.max(LIMIT_RETENTION_MS, drawnIntervalMs);
+      if (now - usedAt > retentionMs) this.#permits.delete(instance);
+    }
   }
 
   #applyEnd(instance: core.InstanceId, endedAt: number, now: number): LimitChange | undefined {
@@ -211,6 +263,24 @@
     return hasChanged ? { instance, ratePerS } : undefined;
   }
 
+  #getPermitSchedule(
+    instance: core.InstanceId,
+    permit: SendPermit,
+    now: number,
+  ): PermitSchedule {
+    const { intervalMs, place } = permit;
+    const known = this.#permits.get(instance);
+    if (known !== undefined) {
+      known.usedAt = now;
+      const factor = intervalMs / known.drawnIntervalMs;
+      if (factor < REDRAW_FACTOR && factor > 1 / REDRAW_FACTOR) return known;
+    }
+    const nextSendAt = now + this.#drawPhase(instance, place) * intervalMs;
+    const schedule = { nextSendAt, drawnIntervalMs: intervalMs, usedAt: now };
+    this.#permits.set(instance, schedule);
+    return schedule;
+  }
+
   /**
    * Draws the share of an interval that this process waits before its first send. The processes
    * take turns, in another order for each instance, since all hear of a limit at about the same
@@ -222,6 +292,37 @@
   }
 }
 
+function computeWaitMs(
+  schedule: SendSchedule,
+  options: { readonly intervalMs: number; readonly validityMs: number; readonly now: number },
+): number {
+  const { intervalMs, validityMs, now } = options;
+  const elapsedMs = now - schedule.nextSendAt;
+  if (elapsedMs < 0) return -elapsedMs;
+  if (!Number.isFinite(intervalMs)) return LIMIT_RETENTION_MS;
+  const cycleMs = elapsedMs % intervalMs;
+  return cycleMs <= validityMs ? 0 : intervalMs - cycleMs;
+}
+
+/** Moves the next permitted send by one interval. */
+function shiftSchedule(
+  schedule: SendSchedule,
+  options: {
+    readonly intervalMs: number;
+    readonly validityMs: number;
+    /** Unused time that may be caught up with if the interval is at most `validityMs`. */
+    readonly burstMs: number;
+    readonly now: number;
+  },
+): void {
+  const { intervalMs, validityMs, burstMs, now } = options;
+  if (!Number.isFinite(intervalMs)) return;
+  const elapsedMs = Math.max(0, now - schedule.nextSendAt);
+  const cycleStart = schedule.nextSendAt + Math.floor(elapsedMs / intervalMs) * intervalMs;
+  const earliestBase = intervalMs > validityMs ? cycleStart : now - burstMs;
+  schedule.nextSendAt = Math.max(schedule.nextSendAt, earliestBase) + intervalMs;
+}
+
 /** Computes the time between two requests of one process; Infinity if none is permitted. */
 function computeIntervalMs(limit: { readonly ratePerS: number }, fleetSize: number): number {
   return 1_000 * fleetSize / limit.ratePerS;
--- a/packages/policy/src/instance_directory.ts
+++ b/packages/policy/src/instance_directory.ts
@@ -206,6 +206,13 @@
     return usableRecords;
   }
 
+  /** Lists the instances of all services that may get new work. */
+  *listUsableInstances(): Iterable<core.EndpointRecord> {
+    for (const { record, leaveReason } of this.#instances.values()) {
+      if (leaveReason === undefined) yield record;
+    }
+  }
+
   /** Number of instances, of all services, that may get new work. */
   get usableInstanceCount(): number {
     let count = 0;
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -1,6 +1,7 @@
 /** Scheduling, routing and membership decisions, as state machines and functions without I/O. */
 export * from "./call_placement.ts";
 export * from "./call_scheduler.ts";
+export * from "./cold_limits.ts";
 export * from "./concurrency_limit.ts";
 export * from "./config_register.ts";
 export * from "./crash_attribution.ts";
@@ -10,6 +11,7 @@
 export * from "./engine_placement.ts";
 export * from "./hand_over_plan.ts";
 export * from "./fair_queue.ts";
+export * from "./fleet_estimate.ts";
 export * from "./generation_queue.ts";
 export * from "./group_commit.ts";
 export * from "./hub_selection.ts";
