--- a/packages/gateway/src/limit_agent.ts
+++ b/packages/gateway/src/limit_agent.ts
@@ -76,7 +76,13 @@
    * one now or there is none.
    */
   getWaitMs(endpoints: readonly core.EndpointRecord[], now: number): number {
-    const waits = endpoints.map((endpoint) => this.#getWaitMs(endpoint, now));
+    // The permits of a process that has just started grow when the others know it.
+    const unsettledMs = this.#fleet.getUnsettledMs(now) || Infinity;
+    const waits = endpoints.map((endpoint) => {
+      const waitMs = this.#getWaitMs(endpoint, now);
+      const coldMs = this.#getColdMs(endpoint, now);
+      return coldMs > 0 ? Math.min(waitMs, coldMs, unsettledMs) : waitMs;
+    });
     return waits.length === 0 ? 0 : Math.min(...waits);
   }
 
@@ -123,7 +129,7 @@
       const { instance } = endpoint;
       const coldMs = this.#getColdMs(endpoint, now);
       if (coldMs <= 0) continue;
-      if (!coldBefore.delete(instance)) this.#writeCold(endpoint, coldMs);
+      if (!coldBefore.delete(instance)) this.#writeCold(endpoint, coldMs, now);
       this.#coldInstances.add(instance);
     }
     for (const instance of coldBefore) {
@@ -172,8 +178,8 @@
     return { size: getFleetSize(), rank: countPrecedingPeers() };
   }
 
-  #writeCold(endpoint: core.EndpointRecord, coldMs: number): void {
-    const pool = this.#fleet.getPool(endpoint.zone, this.#options.clock.now());
+  #writeCold(endpoint: core.EndpointRecord, coldMs: number, now: number): void {
+    const pool = this.#fleet.getPool(endpoint.zone, now);
     this.#options.logger.write("endpoint_cold", {
       instance: endpoint.instance,
       per_s: this.#options.getService(endpoint.service)?.coldPerS,
--- a/packages/policy/src/cold_limits.ts
+++ b/packages/policy/src/cold_limits.ts
@@ -150,7 +150,7 @@
   return {
     intervalMs: 1_000 * pool.size / (pool.share * coldPerS),
     validityMs: computeColdValidityMs(coldPerS, bounds),
-    place: pool,
+    place: pool.place,
   };
 }
 
--- a/packages/policy/src/fleet_estimate.ts
+++ b/packages/policy/src/fleet_estimate.ts
@@ -5,6 +5,7 @@
  */
 
 import * as core from "@peridotvale/core";
+import type * as rates from "./endpoint_limits.ts";
 
 /** A process that shares rates, and its availability zone. */
 export interface FleetMember {
@@ -18,8 +19,8 @@
   readonly share: number;
   /** Estimated number of processes in the pool, this one included. */
   readonly size: number;
-  /** Position of this process among them. */
-  readonly rank: number;
+  /** Place of this process among those that it knows now. */
+  readonly place: rates.FleetPlace;
 }
 
 /**
@@ -28,9 +29,17 @@
  */
 export const MAX_FLEET_SIZE = 320;
 /** Time from a process's announcement until all others know it, with a margin for hubs. */
-const SETTLE_MS = 5_000;
-/** Time after which a smaller size is believed is between this and twice this time. */
+const SETTLE_MS = 3_000;
+/** A smaller size is believed after between this time and twice this time. */
 const SIZE_RETENTION_MS = 30_000;
+/**
+ * Part of a zone's largest size that is believed for longer. Processes that are cut off from the
+ * store and from this process may still reach the endpoint; of those that vanish together, only a
+ * third is taken to have ended.
+ */
+const LASTING_SIZE_SHARE = 2 / 3;
+/** The lasting size is believed for between this time and twice this time. */
+const LASTING_RETENTION_MS = 300_000;
 /**
  * Parts of the rate for the processes of the endpoint's zone and for all others. Placement prefers
  * the own zone, so that equal shares would leave most of the rate unused in a small zone.
@@ -41,19 +50,47 @@
 const SINGLE_POOL_SHARE = 0.9;
 
 interface ZoneCount {
-  /** Largest sizes in the present retention period and in the one before. */
-  currentMax: number;
-  previousMax: number;
-  /** Number of its processes whose names precede this one's. */
+  /** Largest size within the retention time. */
+  readonly recentMax: PeriodMaximum;
+  /** Largest size within the retention time of the lasting size. */
+  readonly lastingMax: PeriodMaximum;
+  /** Number of processes that are known now. */
+  size: number;
+  /** Number of them that precede this one. */
   preceding: number;
 }
 
+/** The largest value of the present period and the one before it. */
+class PeriodMaximum {
+  readonly #periodMs: number;
+  #periodStartedAt = -Infinity;
+  #current = 0;
+  #previous = 0;
+
+  constructor(periodMs: number) {
+    this.#periodMs = periodMs;
+  }
+
+  get value(): number {
+    return Math.max(this.#current, this.#previous);
+  }
+
+  record(value: number, now: number): void {
+    if (now - this.#periodStartedAt >= this.#periodMs) {
+      this.#previous = this.#current;
+      this.#current = value;
+      this.#periodStartedAt = now;
+    }
+    this.#current = Math.max(this.#current, value);
+  }
+}
+
 /** This process's view of the fleet. */
 export class FleetEstimate {
   readonly #self: FleetMember;
   readonly #zones = new Map<core.ZoneName, ZoneCount>();
+  readonly #orders = new Map<core.ProcessId, number>();
   #settledAt = Infinity;
-  #periodStartedAt = -Infinity;
 
   constructor(self: FleetMember) {
     this.#self = self;
@@ -64,24 +101,29 @@
     this.#settledAt = Math.min(this.#settledAt, now + SETTLE_MS);
   }
 
+  /** Returns the time until the others are assumed to know this process; 0 if they do. */
+  getUnsettledMs(now: number): number {
+    return Math.min(SETTLE_MS, Math.max(0, this.#settledAt - now));
+  }
+
   /** Records the other processes that are known now. */
   recordPeers(peers: Iterable<FleetMember>, now: number): void {
-    const isNewPeriod = now - this.#periodStartedAt >= SIZE_RETENTION_MS;
-    if (isNewPeriod) this.#periodStartedAt = now;
-    const sizes = new Map([[this.#self.zone, 1]]);
-    for (const count of this.#zones.values()) count.preceding = 0;
+    // Names of processes that have ended are dropped.
+    if (this.#orders.size > 2 * MAX_FLEET_SIZE) this.#orders.clear();
+    for (const count of this.#zones.values()) {
+      count.size = 0;
+      count.preceding = 0;
+    }
+    this.#getZone(this.#self.zone).size = 1;
+    const ownOrder = this.#getOrder(this.#self.process);
     for (const { process, zone } of peers) {
-      sizes.set(zone, (sizes.get(zone) ?? 0) + 1);
-      if (process < this.#self.process) this.#getZone(zone).preceding += 1;
+      const count = this.#getZone(zone);
+      count.size += 1;
+      if (this.#getOrder(process) < ownOrder) count.preceding += 1;
     }
-    for (const zone of sizes.keys()) this.#getZone(zone);
-    for (const [zone, count] of this.#zones) {
-      const size = sizes.get(zone) ?? 0;
-      if (isNewPeriod) {
-        count.previousMax = count.currentMax;
-        count.currentMax = size;
-      }
-      count.currentMax = Math.max(count.currentMax, size);
+    for (const count of this.#zones.values()) {
+      count.recentMax.record(count.size, now);
+      count.lastingMax.record(count.size, now);
     }
   }
 
@@ -89,28 +131,49 @@
   getPool(zone: core.ZoneName, now: number): SendPool {
     if (now < this.#settledAt) {
       // Processes that know nobody would all have the same rank.
-      const rank = core.computeHash32(this.#self.process) % MAX_FLEET_SIZE;
-      return { share: 1, size: MAX_FLEET_SIZE, rank };
+      const rank = this.#getOrder(this.#self.process) % MAX_FLEET_SIZE;
+      return { share: 1, size: MAX_FLEET_SIZE, place: { size: MAX_FLEET_SIZE, rank } };
     }
-    const own = { size: 0, preceding: 0 };
-    const others = { size: 0, preceding: 0 };
+    const own = { maxSize: 0, size: 0, preceding: 0 };
+    const others = { maxSize: 0, size: 0, preceding: 0 };
     for (const [name, count] of this.#zones) {
       const pool = name === zone ? own : others;
-      pool.size += Math.max(count.currentMax, count.previousMax);
+      const lastingSize = Math.floor(LASTING_SIZE_SHARE * count.lastingMax.value);
+      pool.maxSize += Math.max(count.recentMax.value, lastingSize);
+      pool.size += count.size;
       pool.preceding += count.preceding;
     }
     const isOwnZone = zone === this.#self.zone;
     const pool = isOwnZone ? own : others;
-    const isSinglePool = own.size === 0 || others.size === 0;
+    const isSinglePool = own.maxSize === 0 || others.maxSize === 0;
     const poolShare = isOwnZone ? OWN_ZONE_SHARE : OTHER_ZONES_SHARE;
     const share = isSinglePool ? SINGLE_POOL_SHARE : poolShare;
-    return { share, size: Math.max(1, pool.size), rank: pool.preceding };
+    const place = { size: Math.max(1, pool.size), rank: pool.preceding };
+    return { share, size: Math.max(1, pool.maxSize), place };
+  }
+
+  /**
+   * Returns the number by which processes take turns. It does not follow their names, since the
+   * processes of a zone or machine, which fail together, often have similar ones.
+   */
+  #getOrder(process: core.ProcessId): number {
+    let order = this.#orders.get(process);
+    if (order === undefined) {
+      order = core.computeHash32(process);
+      this.#orders.set(process, order);
+    }
+    return order;
   }
 
   #getZone(zone: core.ZoneName): ZoneCount {
     let count = this.#zones.get(zone);
     if (count === undefined) {
-      count = { currentMax: 0, previousMax: 0, preceding: 0 };
+      count = {
+        recentMax: new PeriodMaximum(SIZE_RETENTION_MS),
+        lastingMax: new PeriodMaximum(LASTING_RETENTION_MS),
+        size: 0,
+        preceding: 0,
+      };
       this.#zones.set(zone, count);
     }
     return count;
