Count turns at a cold endpoint from its start; note on endpoint rates

Turns from the time of learning of the endpoint were random when processes start at once: the busiest second reached the bound (60 processes).

--- a/packages/gateway/src/limit_agent.ts
+++ b/packages/gateway/src/limit_agent.ts
@@ -153,7 +153,8 @@
     if (this.#coldLimits.getColdUntil(endpoint.instance, service) <= now) return undefined;
     const bounds = this.#options.getBounds().cold ?? policy.DEFAULT_COLD_BOUNDS;
     const pool = this.#fleet.getPool(endpoint.zone, now);
-    return policy.createColdPermit(service.coldPerS, pool, bounds);
+    const originAt = this.#coldLimits.getOriginAt(endpoint.instance);
+    return policy.createColdPermit(service.coldPerS, pool, { bounds, originAt });
   }
 
   /** Returns the time for which `endpoint` still accepts only the rate of a cold one. */
--- a/packages/policy/src/cold_limits.ts
+++ b/packages/policy/src/cold_limits.ts
@@ -34,6 +34,8 @@
   record: core.EndpointRecord;
   /** Time from which the endpoint counts as cold for `coldStartMs`; -Infinity if it does not. */
   coldFrom: number;
+  /** Time from which turns are counted. */
+  originAt: number;
   /** Time until which the endpoint itself says that it is cold. */
   statedUntil: number;
   /** Store revision above which an entry ends the coldness of a restored zone, if there was one. */
@@ -49,6 +51,8 @@
 export const DEFAULT_COLD_BOUNDS: ColdBounds = { over: 1.5, slack: 5 };
 /** Difference between the wall clocks of two machines that is allowed for. */
 const CLOCK_SKEW_MS = 1_000;
+/** Age of a start up to which turns are counted from it; later on, intervals have drifted apart. */
+const MAX_ORIGIN_AGE_MS = 60_000;
 /** Time after which an instance without an entry is forgotten. */
 const STATE_RETENTION_MS = 90_000;
 /**
@@ -116,6 +120,7 @@
         state.record.coldLeftMs !== undefined;
       if (isStatedLater) continue;
       state.coldFrom = now;
+      state.originAt = now;
       state.restoredRevision = revision ?? state.record.revision;
     }
   }
@@ -126,6 +131,14 @@
     if (state !== undefined) state.leftAt = now;
   }
 
+  /**
+   * Returns the time from which the processes count their turns at `instance`: that of its start,
+   * which all know, if it states it.
+   */
+  getOriginAt(instance: core.InstanceId): number {
+    return this.#states.get(instance)?.originAt ?? 0;
+  }
+
   /** Returns the time until which `instance` is cold under `rule`. */
   getColdUntil(instance: core.InstanceId, rule: ColdRule): number {
     const state = this.#states.get(instance);
@@ -145,12 +158,13 @@
 export function createColdPermit(
   coldPerS: number,
   pool: fleets.SendPool,
-  bounds: ColdBounds,
+  options: { readonly bounds: ColdBounds; readonly originAt: number },
 ): rates.SendPermit {
   return {
     intervalMs: 1_000 * pool.size / (pool.share * coldPerS),
-    validityMs: computeColdValidityMs(coldPerS, bounds),
+    validityMs: computeColdValidityMs(coldPerS, options.bounds),
     place: pool.place,
+    originAt: options.originAt,
   };
 }
 
@@ -166,12 +180,12 @@
 
 function createState(record: core.EndpointRecord, timing: ObservationTiming): ColdState {
   const { now, wallTime, isFirstListing } = timing;
-  const ageMs = record.startedAt === undefined
-    ? Infinity
-    : Math.max(0, wallTime - record.startedAt - CLOCK_SKEW_MS);
+  const statedAgeMs = record.startedAt === undefined ? Infinity : wallTime - record.startedAt;
+  const ageMs = Math.max(0, statedAgeMs - CLOCK_SKEW_MS);
   return {
     record,
     coldFrom: isFirstListing ? now - ageMs : now,
+    originAt: statedAgeMs < MAX_ORIGIN_AGE_MS ? now - statedAgeMs : now,
     statedUntil: now + (record.coldLeftMs ?? 0),
     restoredRevision: undefined,
     leftAt: undefined,
--- a/packages/policy/src/cold_limits_test.ts
+++ b/packages/policy/src/cold_limits_test.ts
@@ -6,7 +6,7 @@
 import * as fleets from "./fleet_estimate.ts";
 
 const INSTANCE = core.createId<core.InstanceId>("e-1");
-const STEP_MS = 10;
+const STEP_MS = 20;
 const SIZES = [1, 7, 60, 195];
 const RATES = [2, 5, 20, 50];
 const BOUNDS = colds.DEFAULT_COLD_BOUNDS;
@@ -17,6 +17,7 @@
   readonly limits: rates.EndpointLimits;
   /** Time at which the process learns that the endpoint is cold. */
   readonly coldFrom: number;
+  readonly originAt: number;
 }
 
 interface Scenario {
@@ -32,9 +33,14 @@
 /** Creates processes that are spread over `zoneCount` zones. */
 function createFleet(
   size: number,
-  options: { readonly seed: number; readonly zoneCount?: number; readonly delayMs?: number },
+  options: {
+    readonly seed: number;
+    readonly zoneCount?: number;
+    readonly delayMs?: number;
+    readonly skewMs?: number;
+  },
 ): Process[] {
-  const { seed, zoneCount = 1, delayMs = 0 } = options;
+  const { seed, zoneCount = 1, delayMs = 0, skewMs = 20 } = options;
   const random = new core.SeededRandom(seed);
   return Array.from({ length: size }, (_, index) => {
     const member = {
@@ -46,6 +52,7 @@
       fleet: new fleets.FleetEstimate(member),
       limits: new rates.EndpointLimits(new core.SeededRandom(seed * 1_000 + index)),
       coldFrom: random.next() * delayMs,
+      originAt: -500 + random.next() * skewMs,
     };
   });
 }
@@ -55,15 +62,19 @@
   const { ratePerS, from, until, hasDemand = () => true, listPeers } = scenario;
   const zone = core.createId<core.ZoneName>("zone-0");
   const members = fleet.map(({ member }) => member);
+  const refreshMs = listPeers === undefined ? 20_000 : 1_000;
   const sends: number[] = [];
   for (let now = from; now < until; now += STEP_MS) {
     for (const process of fleet) {
-      if ((now - from) % 500 === 0) {
+      if ((now - from) % refreshMs === 0) {
         const peers = listPeers?.(process, now) ?? members;
         process.fleet.recordPeers(peers.filter((peer) => peer !== process.member), now);
       }
       if (now < process.coldFrom || !hasDemand(process, now)) continue;
-      const permit = colds.createColdPermit(ratePerS, process.fleet.getPool(zone, now), BOUNDS);
+      const permit = colds.createColdPermit(ratePerS, process.fleet.getPool(zone, now), {
+        bounds: BOUNDS,
+        originAt: process.originAt,
+      });
       if (!process.limits.canSend(INSTANCE, fleet.length, now, permit)) continue;
       process.limits.recordSend(INSTANCE, fleet.length, now, permit);
       sends.push(now);
@@ -104,11 +115,11 @@
 for (const size of SIZES) {
   tap.t.test(`${size} processes keep a cold endpoint's rate, and use it`, (t) => {
     for (const ratePerS of RATES) {
-      for (const delayMs of [0, 2_000]) {
-        const fleet = createFleet(size, { seed: 3, delayMs });
+      for (const [delayMs, skewMs] of [[0, 20], [2_000, 20], [2_000, 5_000]] as const) {
+        const fleet = createFleet(size, { seed: 3, delayMs, skewMs });
         settleFleet(fleet);
         const sends = simulateSends(fleet, { ratePerS, from: 0, until: 30_000 });
-        const label = `learned within ${delayMs} ms`;
+        const label = `learned within ${delayMs} ms, clocks ${skewMs} ms apart`;
         const use = checkSends(t, sends, { ratePerS, seconds: 30, label });
         t.ok(use >= 0.8, `use ${use}`);
       }
@@ -153,9 +164,12 @@
     for (const ratePerS of RATES) {
       const partial = createFleet(size, { seed: 9, delayMs: 1_000 });
       settleFleet(partial);
-      const listMost = ({ member }: Process) =>
+      const views = new Map(partial.map(({ member }) => [
+        member,
         partial.map((peer) => peer.member)
-          .filter(({ process }) => core.computeHash32(process + member.process) % 10 > 0);
+          .filter(({ process }) => core.computeHash32(process + member.process) % 10 > 0),
+      ]));
+      const listMost = ({ member }: Process) => views.get(member)!;
       const scenario = { ratePerS, from: 0, until: 30_000 };
       const sends = simulateSends(partial, { ...scenario, listPeers: listMost });
       checkSends(t, sends, { ratePerS, seconds: 30, label: `${size}, a tenth unknown` });
@@ -163,16 +177,19 @@
       // The store's side has dropped the others a while ago, which still send.
       const split = createFleet(size, { seed: 10, delayMs: 1_000 });
       settleFleet(split);
-      for (const { fleet, member } of split) {
-        const others = split.filter((peer) => peer.member !== member);
-        fleet.recordPeers(others.map((peer) => peer.member), -120_000);
-      }
       const cutOff = new Set(split.slice(0, Math.floor(size / 2)));
-      const listSide = (process: Process) =>
-        split.filter((peer) => cutOff.has(process) || !cutOff.has(peer)).map((peer) => peer.member);
-      const late = { ratePerS, from: -80_000, until: 30_000, listPeers: listSide };
-      const hasDemand = (_: Process, now: number) => now >= 0;
-      const splitSends = simulateSends(split, { ...late, hasDemand });
+      const all = split.map((peer) => peer.member);
+      const stayed = split.filter((peer) => !cutOff.has(peer)).map((peer) => peer.member);
+      const listSide = (process: Process) => cutOff.has(process) ? all : stayed;
+      for (const process of split) {
+        const listOthers = (members: readonly fleets.FleetMember[]) =>
+          members.filter((peer) => peer !== process.member);
+        process.fleet.recordPeers(listOthers(all), -120_000);
+        for (const at of [-80_000, -45_000, -10_000]) {
+          process.fleet.recordPeers(listOthers(listSide(process)), at);
+        }
+      }
+      const splitSends = simulateSends(split, { ...scenario, listPeers: listSide });
       checkSends(t, splitSends, { ratePerS, seconds: 30, label: `${size}, half cut off` });
 
       // Both sides have dropped the other one a moment ago; the larger size is still believed.
--- a/packages/policy/src/endpoint_limits.ts
+++ b/packages/policy/src/endpoint_limits.ts
@@ -43,6 +43,11 @@
   readonly validityMs: number;
   /** Place of this process among those that share the rate. */
   readonly place: FleetPlace;
+  /**
+   * Time of an event that all processes know, from which they count their turns. If their clocks
+   * differ, their turns are random.
+   */
+  readonly originAt: number;
 }
 
 /** The sends of this process to one endpoint, at equal intervals. */
@@ -278,7 +283,8 @@
     // Views that lack some processes give similar phases, which turns modulo the size would not.
     const offset = core.computeHash32(instance) / 2 ** 32;
     const phase = ((place.rank + this.#random.next()) / place.size + offset) % 1;
-    const nextSendAt = now + phase * intervalMs;
+    const leadMs = (permit.originAt + phase * intervalMs - now) % intervalMs;
+    const nextSendAt = now + (leadMs < 0 ? leadMs + intervalMs : leadMs);
     const schedule = { nextSendAt, drawnIntervalMs: intervalMs, usedAt: now };
     this.#permits.set(instance, schedule);
     return schedule;
--- a/packages/policy/src/fleet_estimate.ts
+++ b/packages/policy/src/fleet_estimate.ts
@@ -149,7 +149,7 @@
     const poolShare = isOwnZone ? OWN_ZONE_SHARE : OTHER_ZONES_SHARE;
     const share = isSinglePool ? SINGLE_POOL_SHARE : poolShare;
     const place = { size: Math.max(1, pool.size), rank: pool.preceding };
-    return { share, size: Math.max(1, pool.maxSize), place };
+    return { share, size: computeRoundedSize(Math.max(1, pool.maxSize)), place };
   }
 
   /**
@@ -179,3 +179,12 @@
     return count;
   }
 }
+
+/**
+ * Rounds a size up by less than a sixteenth, so that processes whose views differ by a few others
+ * mostly use the same interval, and their turns stay apart.
+ */
+function computeRoundedSize(size: number): number {
+  const step = 2 ** Math.max(0, Math.floor(Math.log2(size)) - 4);
+  return Math.ceil(size / step) * step;
+}
