Slow start of endpoints that have started or recovered

All processes sent their full share to an endpoint that had just started or recovered. Trials, failures and the start of the growth are exchanged in the process reports.

--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -141,6 +141,7 @@
           }
           const now = this.#context.clock.now();
           this.#context.callPlacement.recordEnd(endpoint.instance, report, { startedAt, now });
+          this.#context.limitAgent.recordEnd(endpoint, report, startedAt);
           if (result.type === "no_answer" && result.reason === "misdirected") {
             this.#context.publishChanges(
               this.#context.directory.recordMisdirected(endpoint.instance, now),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -252,6 +252,7 @@
         countPrecedingPeers: () => this.#peerAgent.countPrecedingPeers(),
         listKnownPeers: () => this.#peerAgent.listKnownPeers(),
         getBounds: () => this.#context.settings.bounds,
+        isPaceEnabled: () => this.#context.settings.isPaceEnabled === true,
         getListedAt: () => this.#storeAgent.listedAt,
         getService: (service) => config.inForce?.config.services.get(service),
       }),
@@ -309,6 +310,7 @@
       notices: directory.listLeaveNotices(now),
       quarantine: quarantineAgent.listNews(scope, now),
       limits: limitAgent.listNews(scope, now),
+      paces: limitAgent.listPaceNews(scope, now),
       store: release === undefined ? undefined : {
         release,
         confirmAgeMs: config.getConfirmAgeMs(now),
@@ -330,6 +332,7 @@
     }
     this.#context.quarantineAgent.applyNews(report.quarantine, now);
     this.#context.limitAgent.applyNews(report.limits, now);
+    this.#context.limitAgent.applyPaceNews(report.paces, now);
     const { store } = report;
     if (store === undefined) return;
     this.#storeAgent.applyPeerView(store, reportTiming);
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -51,6 +51,7 @@
     () => limitAgent.limitedCount,
   );
   register("cold_endpoints", "Endpoints with the rate of a cold one.", () => limitAgent.coldCount);
+  register("paced_endpoints", "Endpoints in slow start.", () => limitAgent.pacedCount);
   register("opened_connections", "Connections to endpoints.", () => pool.openedCount);
   register("open_links", "Links to other processes.", () => peerAgent.linkCount);
   register("linked_processes", "Processes that report.", () => peerLoads.processCount);
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -35,5 +35,7 @@
   readonly peers: ListenAddress;
   /** Bandwidth of the VM's network link; 0 if it is not known. */
   readonly linkMbps: number;
+  /** Whether the endpoints of all services start slowly; otherwise of those that are cold first. */
+  readonly isPaceEnabled?: boolean;
   readonly bounds: GatewayBounds;
 }
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -385,7 +385,10 @@
       this.#context.metrics.recordFirstToken(labels, now - this.request.arrivedAt);
     }
     const elapsedMs = this.#lastEventAt === undefined ? undefined : now - this.#lastEventAt;
-    this.#firstEventAt ??= now;
+    if (this.#firstEventAt === undefined) {
+      this.#firstEventAt = now;
+      this.#context.limitAgent.recordEnd(this.endpoint, "answered", this.#sentAt);
+    }
     if (now - this.#firstEventAt >= quarantines.SOUND_OUTPUT_MS) this.#recordSoundOutput(now);
     this.#lastEventAt = now;
     this.#context.enginePlacement.recordProgress(this.endpoint.instance, this.request.id, {
--- a/packages/gateway/src/limit_agent.ts
+++ b/packages/gateway/src/limit_agent.ts
@@ -19,6 +19,8 @@
   readonly getBounds: () => { readonly cold?: policy.ColdBounds };
   /** Returns the time of the first listing of the store; undefined before it. */
   readonly getListedAt: () => number | undefined;
+  /** Whether all services start slowly, not only those with cold endpoints. */
+  readonly isPaceEnabled: () => boolean;
   readonly getService: (service: core.ServiceName) => core.RoutedService | undefined;
 }
 
@@ -31,6 +33,7 @@
   readonly #options: LimitAgentOptions;
   readonly #limits: policy.EndpointLimits;
   readonly #coldLimits = new policy.ColdLimits();
+  readonly #pace = new policy.EndpointPace();
   readonly #fleet: policy.FleetEstimate;
   /** Endpoints that were found cold at the last update. */
   readonly #coldInstances = new Set<core.InstanceId>();
@@ -46,6 +49,11 @@
     return this.#limits.size;
   }
 
+  /** Number of endpoints in slow start. */
+  get pacedCount(): number {
+    return this.#pace.size;
+  }
+
   /** Number of cold endpoints. */
   get coldCount(): number {
     return this.#coldInstances.size;
@@ -68,9 +76,22 @@
   /** Records that this process sends a request to `endpoint`. */
   recordSend(endpoint: core.EndpointRecord, now: number): void {
     const permit = this.#getPermit(endpoint, now);
+    this.#pace.recordSend(endpoint.instance, now);
     this.#limits.recordSend(endpoint.instance, this.#options.getFleetSize(), now, permit);
   }
 
+  /** Records how a request that was sent at `startedAt` ended, or that its first event arrived. */
+  recordEnd(
+    endpoint: core.EndpointRecord,
+    report: policy.AttemptReport,
+    startedAt: number,
+  ): void {
+    if (!this.#isPaced(endpoint.service)) return;
+    const now = this.#options.clock.now();
+    const change = this.#pace.recordEnd(endpoint.instance, report, { startedAt, now });
+    if (change !== undefined) this.#writePace(endpoint.instance, change);
+  }
+
   /**
    * Returns the time until this process may send to the first of `endpoints`; 0 if it may send to
    * one now or there is none.
@@ -81,7 +102,9 @@
     const waits = endpoints.map((endpoint) => {
       const waitMs = this.#getWaitMs(endpoint, now);
       const coldMs = this.#getColdMs(endpoint, now);
-      return coldMs > 0 ? Math.min(waitMs, coldMs, unsettledMs) : waitMs;
+      const reviewMs = this.#pace.getReviewMs(endpoint.instance, now);
+      if (coldMs > 0) return Math.min(waitMs, unsettledMs, coldMs);
+      return reviewMs === undefined ? waitMs : Math.min(waitMs, unsettledMs, reviewMs);
     });
     return waits.length === 0 ? 0 : Math.min(...waits);
   }
@@ -97,6 +120,15 @@
     for (const change of this.#limits.applyNews(reports, options)) this.#writeChange(change);
   }
 
+  /** Lists what is known of endpoints in slow start, with the same scopes. */
+  listPaceNews(scope: "recent" | "all", now: number): policy.PaceReport[] {
+    return this.#pace.listNews(scope === "all" ? -Infinity : now - NEWS_REPORT_MS, now);
+  }
+
+  applyPaceNews(reports: readonly policy.PaceReport[] | undefined, now: number): void {
+    if (reports !== undefined) this.#pace.applyNews(reports, now);
+  }
+
   /** Records the time for which a health answer says that its endpoint stays cold. */
   recordColdStatement(instance: core.InstanceId, coldLeftMs: number, now: number): void {
     this.#coldLimits.recordStatement(instance, coldLeftMs, now);
@@ -107,7 +139,9 @@
    * above `revision`, the store revision of its end, may state another time.
    */
   recordZoneRestored(zone: core.ZoneName, now: number, revision?: number): void {
-    this.#coldLimits.recordZoneRestored(zone, now, revision);
+    for (const endpoint of this.#coldLimits.recordZoneRestored(zone, now, revision)) {
+      this.#startPace(endpoint, now);
+    }
   }
 
   /** Records that the store has acknowledged the announcement of this process. */
@@ -117,6 +151,7 @@
 
   dropInstance(instance: core.InstanceId): void {
     this.#limits.dropInstance(instance);
+    this.#pace.dropInstance(instance);
     this.#coldLimits.recordLeft(instance, this.#options.clock.now());
   }
 
@@ -136,23 +171,42 @@
       this.#coldInstances.delete(instance);
       this.#options.logger.write("endpoint_warm", { instance });
     }
+    for (const instance of this.#pace.expireStates(now)) this.#writePace(instance, "full");
     this.#limits.expireLimits(now);
     this.#coldLimits.expireStates(now);
   }
 
   #getWaitMs(endpoint: core.EndpointRecord, now: number): number {
     const permit = this.#getPermit(endpoint, now);
+    const blockedMs = this.#pace.size === 0 ? 0 : this.#pace.getBlockedMs(endpoint.instance, now);
+    if (blockedMs > 0) return blockedMs;
     if (permit === undefined && this.#limits.size === 0) return 0;
     return this.#limits.getWaitMs(endpoint.instance, this.#options.getFleetSize(), now, permit);
   }
 
   #getPermit(endpoint: core.EndpointRecord, now: number): policy.SendPermit | undefined {
     const service = this.#options.getService(endpoint.service);
-    if (service === undefined || !(service.coldPerS > 0)) return undefined;
+    if (service === undefined) return undefined;
+    const isPaced = this.#options.isPaceEnabled() || service.coldStartMs > 0;
+    const isLimited = service.coldPerS > 0;
+    if (!isLimited && !isPaced) return undefined;
     this.#observeRecord(endpoint, now);
-    if (this.#coldLimits.getColdUntil(endpoint.instance, service) <= now) return undefined;
-    const bounds = this.#options.getBounds().cold ?? policy.DEFAULT_COLD_BOUNDS;
+    const isCold = isLimited &&
+      this.#coldLimits.getColdUntil(endpoint.instance, service) > now;
+    if (!isCold && this.#pace.size === 0) return undefined;
     const pool = this.#fleet.getPool(endpoint.zone, now);
+    const paced = this.#pace.getPermit(endpoint.instance, pool, now);
+    if (!isCold) return paced;
+    const cold = this.#createColdPermit(endpoint, service, pool);
+    return paced !== undefined && paced.intervalMs > cold.intervalMs ? paced : cold;
+  }
+
+  #createColdPermit(
+    endpoint: core.EndpointRecord,
+    service: core.RoutedService,
+    pool: policy.SendPool,
+  ): policy.SendPermit {
+    const bounds = this.#options.getBounds().cold ?? policy.DEFAULT_COLD_BOUNDS;
     const originAt = this.#coldLimits.getOriginAt(endpoint.instance);
     return policy.createColdPermit(service.coldPerS, pool, { bounds, originAt });
   }
@@ -167,11 +221,29 @@
   #observeRecord(endpoint: core.EndpointRecord, now: number): void {
     if (!this.#coldLimits.isNews(endpoint)) return;
     const listedAt = this.#options.getListedAt();
-    this.#coldLimits.observeRecord(endpoint, {
+    const isStart = this.#coldLimits.observeRecord(endpoint, {
       now,
       wallTime: this.#options.clock.readWallTime(),
       isFirstListing: listedAt === undefined || now - listedAt <= FIRST_LISTING_MS,
     });
+    if (isStart) this.#startPace(endpoint, now);
+  }
+
+  /** Whether the endpoints of `service` start slowly. */
+  #isPaced(service: core.ServiceName): boolean {
+    if (this.#options.isPaceEnabled()) return true;
+    return (this.#options.getService(service)?.coldStartMs ?? 0) > 0;
+  }
+
+  #startPace(endpoint: core.EndpointRecord, now: number): void {
+    if (!this.#isPaced(endpoint.service)) return;
+    const originAt = this.#coldLimits.getOriginAt(endpoint.instance);
+    this.#pace.startPace(endpoint.instance, originAt, now);
+    this.#writePace(endpoint.instance, "trial");
+  }
+
+  #writePace(instance: core.InstanceId, phase: policy.PaceChange): void {
+    this.#options.logger.write("endpoint_paced", { instance, phase });
   }
 
   #getPlace(): policy.FleetPlace {
--- a/packages/gateway/src/limit_agent_test.ts
+++ b/packages/gateway/src/limit_agent_test.ts
@@ -2,6 +2,7 @@
 import * as tap from "tap";
 import * as agents from "./limit_agent.ts";
 
+const clock = { now: 0 };
 const ZONE = core.createId<core.ZoneName>("a");
 
 function createEndpoint(name: string, service: string): core.EndpointRecord {
@@ -24,7 +25,7 @@
     coldPerS: 0,
   }]]);
   return new agents.LimitAgent({
-    clock: { now: () => 0, readWallTime: () => 1_000_000 },
+    clock: { now: () => clock.now, readWallTime: () => 1_000_000 + clock.now },
     logger: { write: (event, fields) => lines.push(core.formatLine(event, fields ?? {})) },
     random: new core.SeededRandom(1),
     self: { process: core.createId<core.ProcessId>("p"), zone: ZONE },
@@ -32,6 +33,7 @@
     countPrecedingPeers: () => 0,
     listKnownPeers: () => [],
     getBounds: () => ({}),
+    isPaceEnabled: () => false,
     getListedAt: () => 0,
     getService: (name) => ({
       name,
@@ -43,12 +45,14 @@
   });
 }
 
-/** Sends whenever `agent` permits it, for a second. */
+/** Sends whenever `agent` permits it, for a second; each request is answered at once. */
 function countSends(agent: agents.LimitAgent, endpoint: core.EndpointRecord, from: number): number {
   let count = 0;
   for (let now = from; now < from + 1_000; now += 10) {
     if (!agent.canSend(endpoint, now)) continue;
+    clock.now = now;
     agent.recordSend(endpoint, now);
+    agent.recordEnd(endpoint, "answered", now);
     count += 1;
   }
   return count;
@@ -59,6 +63,7 @@
   const agent = createAgent(lines);
   const cold = createEndpoint("c", "cold");
   const plain = createEndpoint("p", "plain");
+  clock.now = 100;
   agent.update([cold, plain], 100);
   agent.recordAnnouncement(100);
   t.equal(countSends(agent, cold, 4_000), 100, "warm");
@@ -83,6 +88,7 @@
 tap.t.test("a process that has just started waits at most until the others know it", (t) => {
   const agent = createAgent([]);
   const cold = createEndpoint("c", "cold");
+  clock.now = 900;
   agent.update([], 900);
   agent.recordAnnouncement(1_000);
   const waitMs = agent.getWaitMs([cold], 2_000);
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -372,9 +372,15 @@
 }
 
 /** Encodes what the news are about, without their ages, which change all the time. */
-function encodeNewsSubjects({ quarantine, limits }: types.OwnReport): string {
+function encodeNewsSubjects({ quarantine, limits, paces = [] }: types.OwnReport): string {
   const crashes = quarantine.crashes.map(({ instance, suspects }) => [instance, suspects.length]);
   const soundParts = quarantine.soundParts.map(({ part }) => part);
   const limitRates = limits.map(({ instance, ratePerS }) => [instance, ratePerS]);
-  return JSON.stringify([crashes, soundParts, limitRates]);
+  const pacePhases = paces.map(({ instance, failures, rampAgeMs, blockedMs }) => [
+    instance,
+    failures,
+    rampAgeMs === undefined,
+    blockedMs > 0,
+  ]);
+  return JSON.stringify([crashes, soundParts, limitRates, pacePhases]);
 }
--- a/packages/gateway/src/peer_agent_options.ts
+++ b/packages/gateway/src/peer_agent_options.ts
@@ -12,6 +12,7 @@
   readonly store: peers.StoreView | undefined;
   readonly quarantine: policy.QuarantineNews;
   readonly limits: readonly policy.LimitReport[];
+  readonly paces?: readonly policy.PaceReport[];
 }
 
 /** When a peer's report arrived, and how it relates to earlier reports. */
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -213,7 +213,12 @@
     this.#relays.add(relay);
     this.#queue.recordStart(generation, now);
     try {
-      return await relay.run();
+      const failure = await relay.run();
+      if (failure !== undefined) {
+        const report = failure.outcome === "not_run" ? "refused" : "failed";
+        context.limitAgent.recordEnd(relay.endpoint, report, now);
+      }
+      return failure;
     } finally {
       this.#relays.delete(relay);
       this.#queue.recordEnd(generation);
--- a/packages/peers/src/codec.ts
+++ b/packages/peers/src/codec.ts
@@ -182,13 +182,14 @@
     const { process, zone, incarnation, sentAt, isLost } = report;
     return [process, zone, incarnation, sentAt, isLost, loads];
   });
-  const { quarantine, limits, ...report } = message;
+  const { quarantine, limits, paces = [], ...report } = message;
   const hasNews = quarantine.crashes.length > 0 || quarantine.soundParts.length > 0;
   return {
     ...report,
     relayed,
     ...(hasNews ? { quarantine } : {}),
     ...(limits.length > 0 ? { limits } : {}),
+    ...(paces.length > 0 ? { paces } : {}),
   };
 }
 
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -90,6 +90,8 @@
   readonly quarantine: policy.QuarantineNews;
   /** Limits of endpoints that the sender learned of recently, and those that have ended. */
   readonly limits: readonly policy.LimitReport[];
+  /** Endpoints in slow start; missing if there are none, or from versions without slow start. */
+  readonly paces?: readonly policy.PaceReport[];
   /** Loads of other processes that the sender, a hub, passes on since its last report. */
   readonly relayed: readonly policy.RelayedLoads[];
 }
--- a/packages/policy/src/cold_limits.ts
+++ b/packages/policy/src/cold_limits.ts
@@ -73,14 +73,17 @@
     return state === undefined || state.record !== record || state.leftAt !== undefined;
   }
 
-  /** Applies the entry of an instance; the state is unchanged if the entry is known. */
-  observeRecord(record: core.EndpointRecord, timing: ObservationTiming): void {
+  /**
+   * Applies the entry of an instance; the state is unchanged if the entry is known. Returns whether
+   * it is that of a start under traffic.
+   */
+  observeRecord(record: core.EndpointRecord, timing: ObservationTiming): boolean {
     const state = this.#states.get(record.instance);
     if (state === undefined) {
       this.#states.set(record.instance, createState(record, timing));
-      return;
+      return !timing.isFirstListing;
     }
-    if (state.record === record && state.leftAt === undefined) return;
+    if (state.record === record && state.leftAt === undefined) return false;
     const isUpdate = record.revision > state.record.revision;
     const isStart = record.startedAt !== state.record.startedAt ||
       record.endpoint !== state.record.endpoint ||
@@ -89,17 +92,18 @@
     state.leftAt = undefined;
     if (isStart) {
       this.#states.set(record.instance, createState(record, { ...timing, isFirstListing: false }));
-      return;
+      return true;
     }
-    if (!isUpdate || record.coldLeftMs === undefined) return;
+    if (!isUpdate || record.coldLeftMs === undefined) return false;
     const statedUntil = timing.now + record.coldLeftMs;
     if (state.restoredRevision !== undefined && record.revision > state.restoredRevision) {
       state.coldFrom = -Infinity;
       state.statedUntil = statedUntil;
       state.restoredRevision = undefined;
-      return;
+      return false;
     }
     state.statedUntil = Math.max(state.statedUntil, statedUntil);
+    return false;
   }
 
   /** Applies the remaining cold time that an instance itself states. */
@@ -112,8 +116,14 @@
   /**
    * Counts the known endpoints of `zone` as cold from now on. Entries above `revision`, the store
    * revision of the restoration, may state another time; without it, entries not yet known may.
+   * Returns the entries of these endpoints.
    */
-  recordZoneRestored(zone: core.ZoneName, now: number, revision?: number): void {
+  recordZoneRestored(
+    zone: core.ZoneName,
+    now: number,
+    revision?: number,
+  ): core.EndpointRecord[] {
+    const restored: core.EndpointRecord[] = [];
     for (const state of this.#states.values()) {
       if (state.record.zone !== zone) continue;
       const isStatedLater = revision !== undefined && state.record.revision > revision &&
@@ -122,7 +132,9 @@
       state.coldFrom = now;
       state.originAt = now;
       state.restoredRevision = revision ?? state.record.revision;
+      restored.push(state.record);
     }
+    return restored;
   }
 
   /** Records that an instance gets no new work. */
--- a/packages/policy/src/endpoint_limits.ts
+++ b/packages/policy/src/endpoint_limits.ts
@@ -48,6 +48,8 @@
    * differ, their turns are random.
    */
   readonly originAt: number;
+  /** Whether turns begin at equal distances; otherwise at a random time within each. */
+  readonly isExact?: boolean;
 }
 
 /** The sends of this process to one endpoint, at equal intervals. */
@@ -68,6 +70,7 @@
   /** Interval with which the phase was drawn. */
   drawnIntervalMs: number;
   usedAt: number;
+  sentAt: number;
 }
 
 interface EndedLimit {
@@ -157,6 +160,7 @@
     const { intervalMs, validityMs } = permit;
     const schedule = this.#getPermitSchedule(instance, permit, now);
     shiftSchedule(schedule, { intervalMs, validityMs, burstMs: validityMs, now });
+    schedule.sentAt = now;
   }
 
   /** Records an answer's limit, or that it names none. */
@@ -282,10 +286,15 @@
     }
     // Views that lack some processes give similar phases, which turns modulo the size would not.
     const offset = core.computeHash32(instance) / 2 ** 32;
-    const phase = ((place.rank + this.#random.next()) / place.size + offset) % 1;
-    const leadMs = (permit.originAt + phase * intervalMs - now) % intervalMs;
-    const nextSendAt = now + (leadMs < 0 ? leadMs + intervalMs : leadMs);
-    const schedule = { nextSendAt, drawnIntervalMs: intervalMs, usedAt: now };
+    const delay = permit.isExact === true ? 0 : this.#random.next();
+    const phase = ((place.rank + delay) / place.size + offset) % 1;
+    const remainderMs = (permit.originAt + phase * intervalMs - now) % intervalMs;
+    const leadMs = remainderMs < 0 ? remainderMs + intervalMs : remainderMs;
+    const sentAt = known?.sentAt ?? -Infinity;
+    // An exact turn may have begun: a process with few requests would mostly ask too late.
+    const turnAt = now + leadMs - intervalMs;
+    const nextSendAt = permit.isExact === true && turnAt > sentAt ? turnAt : now + leadMs;
+    const schedule = { nextSendAt, drawnIntervalMs: intervalMs, usedAt: now, sentAt };
     this.#permits.set(instance, schedule);
     return schedule;
   }
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./crash_attribution.ts";
 export * from "./drain_schedule.ts";
 export * from "./endpoint_limits.ts";
+export * from "./endpoint_pace.ts";
 export * from "./endpoint_table.ts";
 export * from "./engine_placement.ts";
 export * from "./hand_over_plan.ts";
