Failing endpoints recover slowly too; tests and mutations of slow start

A process that alone is cut off from an endpoint would have waited for the turns of all others, up to minutes with 195: it has all turns until another process reports failures of the same endpoint.

--- a/packages/bench/src/policy_mutations.ts
+++ b/packages/bench/src/policy_mutations.ts
@@ -45,6 +45,20 @@
     to: "const isStart =",
     test: "packages/policy/dist/cold_limits_test.js",
   },
+  {
+    name: "while a trial of a started endpoint is under way, nothing more is sent",
+    file: "packages/policy/src/endpoint_pace.ts",
+    from: "now + getPause(TRIAL_TIMEOUTS_MS, state)",
+    to: "now",
+    test: "packages/policy/dist/endpoint_pace_test.js",
+  },
+  {
+    name: "processes take turns to try an endpoint that has started",
+    file: "packages/policy/src/endpoint_pace.ts",
+    from: "Math.max(1, poolSize / growth ** idleTurns)",
+    to: "1",
+    test: "packages/policy/dist/endpoint_pace_test.js",
+  },
   {
     name: "placements on late reports are spread",
     file: "packages/policy/src/placement_spread.ts",
--- a/packages/gateway/src/limit_agent_test.ts
+++ b/packages/gateway/src/limit_agent_test.ts
@@ -77,10 +77,9 @@
   t.equal(agent.getWaitMs([cold, plain], 6_000), 0);
   agent.update([cold, plain], 15_000);
   t.equal(countSends(agent, cold, 15_000), 100, "warm again");
-  t.match(
-    lines.join("\n"),
-    /endpoint_cold instance=c per_s=2 .* processes=1\n.*endpoint_warm instance=c/,
-  );
+  const text = lines.join("\n");
+  t.match(text, /endpoint_cold instance=c per_s=2 .* processes=1\n[^]*endpoint_warm instance=c/);
+  t.match(text, /endpoint_paced instance=c phase=trial\n[^]*endpoint_paced instance=c phase=full/);
   t.end();
 });
 
--- a/packages/policy/src/endpoint_pace.ts
+++ b/packages/policy/src/endpoint_pace.ts
@@ -17,6 +17,8 @@
   readonly version: number;
   /** Time since the last event. */
   readonly ageMs: number;
+  /** Time since the start of the endpoint, or since it first failed. */
+  readonly originAgeMs: number;
   /** Time since the rate began to grow; undefined while no answer was sound. */
   readonly rampAgeMs: number | undefined;
   /** Trials and failed requests since the last sound answer. */
@@ -29,8 +31,10 @@
 export type PaceChange = "trial" | "ramp" | "full";
 
 interface PaceState {
-  /** Time of the start or recovery, from which turns are counted; earlier reports are ignored. */
-  readonly originAt: number;
+  /** Time of the start, or of the first known failure, from which turns are counted. */
+  originAt: number;
+  /** Time from which reports and requests are about this start, or this series of failures. */
+  readonly validFrom: number;
   readonly enteredAt: number;
   /** Whether other processes are in the same state, so that all take turns. */
   isShared: boolean;
@@ -78,6 +82,8 @@
 const MAX_MODE_MS = 60_000;
 /** Failures in a row, without slow start, from which an endpoint counts as failing. */
 const FAILING_COUNT = 3;
+/** Time within which the processes find that an endpoint fails. */
+const FAILURE_SPREAD_MS = 10_000;
 
 /** Endpoints in slow start. */
 export class EndpointPace {
@@ -94,14 +100,15 @@
 
   /** Begins the slow start of an endpoint that started or recovered at `originAt`. */
   startPace(instance: core.InstanceId, originAt: number, now: number): void {
-    this.#states.set(instance, createState(originAt, now));
+    this.#states.set(instance, createState(now, originAt));
     const early = this.#earlyReports.get(instance);
     if (early === undefined) return;
     const ageMs = now - early.at;
     this.#earlyReports.delete(instance);
     const { report } = early;
     const rampAgeMs = report.rampAgeMs === undefined ? undefined : report.rampAgeMs + ageMs;
-    this.applyNews([{ ...report, ageMs: report.ageMs + ageMs, rampAgeMs }], now);
+    const originAgeMs = report.originAgeMs + ageMs;
+    this.applyNews([{ ...report, ageMs: report.ageMs + ageMs, originAgeMs, rampAgeMs }], now);
   }
 
   /** Returns the time for which nothing is sent to `instance`, because a trial is under way. */
@@ -166,7 +173,7 @@
     const { startedAt, now } = timing;
     const state = this.#states.get(instance);
     if (state === undefined) return this.#recordUnpaced(instance, report, now);
-    if (startedAt < state.originAt || hasEnded(state, now)) return undefined;
+    if (startedAt < state.validFrom || hasEnded(state, now)) return undefined;
     if (report === "answered") return this.#recordSound(state, now - startedAt, now);
     if (report !== "refused") return this.#recordFailure(state, now);
     if (state.rampFrom === undefined) state.blockedUntil = now + BACKOFFS_MS[0]!;
@@ -184,8 +191,10 @@
         if (rampAgeMs !== undefined) this.#earlyReports.set(report.instance, { report, at: now });
         continue;
       }
-      if (now - report.ageMs < state.originAt) continue;
+      if (now - report.ageMs < state.validFrom) continue;
       state.isShared = true;
+      const originAt = now - report.originAgeMs;
+      if (originAt >= state.validFrom) state.originAt = Math.min(state.originAt, originAt);
       // Of two concurrent events, a sound answer counts.
       const isLater = version > state.version ||
         (version === state.version && rampAgeMs !== undefined && state.rampFrom === undefined);
@@ -209,6 +218,7 @@
         instance,
         version: state.version,
         ageMs: now - state.eventAt,
+        originAgeMs: now - state.originAt,
         rampAgeMs: state.rampFrom === undefined ? undefined : now - state.rampFrom,
         failures: state.failures,
         blockedMs: Math.max(0, state.blockedUntil - now),
@@ -248,7 +258,8 @@
     this.#failures.set(instance, failures);
     if (failures < FAILING_COUNT) return undefined;
     this.#failures.delete(instance);
-    const state = createState(now, now);
+    const state = createState(now, now - FAILURE_SPREAD_MS);
+    state.originAt = now;
     // Only this process may be cut off from the endpoint; then it has all turns.
     state.isShared = false;
     state.failures = 1;
@@ -291,9 +302,10 @@
   }
 }
 
-function createState(originAt: number, now: number): PaceState {
+function createState(now: number, originAt: number): PaceState {
   return {
     originAt,
+    validFrom: originAt,
     enteredAt: now,
     isShared: true,
     rampFrom: undefined,
--- a/packages/policy/src/endpoint_pace_test.ts
+++ b/packages/policy/src/endpoint_pace_test.ts
@@ -23,6 +23,8 @@
   /** Requests a second for each endpoint, over all processes. */
   readonly demandPerS: number;
   readonly endpointCount?: number;
+  /** Whether the endpoints have run for long; otherwise they start at time 0. */
+  readonly isRunning?: boolean;
   readonly answer: (sends: readonly number[], now: number, random: core.RandomSource) => Answer;
 }
 
@@ -51,7 +53,7 @@
 
 /** Runs processes before endpoints that start at time 0 and are learned of within 200 ms. */
 function simulateStart(scenario: Scenario): Outcome {
-  const { size, seconds, demandPerS, endpointCount = 1, answer } = scenario;
+  const { size, seconds, demandPerS, endpointCount = 1, isRunning = false, answer } = scenario;
   const random = new core.SeededRandom(17);
   const processes = createProcesses(size);
   const instances = Array.from(
@@ -67,7 +69,9 @@
   };
   for (const { pace } of processes) {
     const at = Math.ceil(random.next() * 20) * STEP_MS;
-    for (const instance of instances) schedule(at, () => pace.startPace(instance, 0, at));
+    for (const instance of isRunning ? [] : instances) {
+      schedule(at, () => pace.startPace(instance, 0, at));
+    }
   }
   const send = (process: typeof processes[0], endpoint: number, now: number) => {
     const instance = instances[endpoint]!;
@@ -124,7 +128,7 @@
       for (const afterMs of [30, 1_200]) {
         const { sends, wanted, soundAt } = simulateStart({
           size,
-          seconds: 12,
+          seconds: 20,
           demandPerS,
           answer: answerSoundly(afterMs),
         });
@@ -198,6 +202,25 @@
     t.end();
   });
 
+  tap.t.test(`${size} processes use an endpoint again that was unreachable`, (t) => {
+    const { sends, wanted, failures } = simulateStart({
+      size,
+      seconds: 45,
+      demandPerS: 200,
+      isRunning: true,
+      answer: (_sends, now) =>
+        now > 5_000 && now < 20_000
+          ? { report: "unreachable", afterMs: 5 }
+          : { report: "answered", afterMs: 30 },
+    });
+    const late = countBetween(failures[0]!, 16_000, 20_000);
+    t.ok(late <= 0.05 * countBetween(wanted[0]!, 16_000, 20_000), `${late} in the last 4 s`);
+    const share = countBetween(sends[0]!, 35_000, Infinity) /
+      countBetween(wanted[0]!, 35_000, Infinity);
+    t.ok(share >= 0.9, `${share} from 15 s after it: pause, turns and ramp`);
+    t.end();
+  });
+
   tap.t.test(`${size} processes try the endpoints of a zone that returns`, (t) => {
     const { sends, soundAt } = simulateStart({
       size,
@@ -212,3 +235,36 @@
     t.end();
   });
 }
+
+// One process that is cut off from an endpoint must not wait for the turns of all others.
+tap.t.test("a process that alone cannot reach an endpoint tries it again soon", (t) => {
+  const pace = new paces.EndpointPace();
+  const instance = core.createId<core.InstanceId>("e");
+  const pool = { share: 1, size: 195, place: { size: 195, rank: 7 } };
+  for (const now of [0, 10, 20]) {
+    pace.recordEnd(instance, "unreachable", { startedAt: now, now });
+  }
+  t.ok(pace.getBlockedMs(instance, 30) > 0);
+  t.ok((pace.getPermit(instance, pool, 5_000)?.intervalMs ?? 0) < 1_000);
+  const report = { instance, version: 1, ageMs: 100, originAgeMs: 100, rampAgeMs: undefined };
+  pace.applyNews([{ ...report, failures: 1, blockedMs: 900 }], 100);
+  t.ok((pace.getPermit(instance, pool, 2_500)?.intervalMs ?? 0) > 60_000, "others cannot either");
+  t.end();
+});
+
+tap.t.test("reports of an earlier start are ignored, those of a later one are kept", (t) => {
+  const pace = new paces.EndpointPace();
+  const instance = core.createId<core.InstanceId>("e");
+  const pool = { share: 1, size: 7, place: { size: 7, rank: 1 } };
+  const report = { instance, version: 5, failures: 0, blockedMs: 0, originAgeMs: 1_000 };
+  pace.startPace(instance, 10_000, 10_000);
+  pace.applyNews([{ ...report, ageMs: 900, rampAgeMs: 900 }], 10_500);
+  t.ok(pace.getPermit(instance, pool, 13_500) !== undefined, "still tried");
+  pace.applyNews([{ ...report, ageMs: 400, rampAgeMs: 400 }], 11_000);
+  t.equal(pace.getPermit(instance, pool, 13_500), undefined, "the ramp is over");
+  const late = new paces.EndpointPace();
+  late.applyNews([{ ...report, ageMs: 400, rampAgeMs: 400 }], 11_000);
+  late.startPace(instance, 10_000, 12_000);
+  t.equal(late.getPermit(instance, pool, 13_500), undefined, "its entry came late");
+  t.end();
+});
