--- a/packages/gateway/src/limit_agent.ts
+++ b/packages/gateway/src/limit_agent.ts
@@ -126,7 +126,10 @@
   }
 
   applyPaceNews(reports: readonly policy.PaceReport[] | undefined, now: number): void {
-    if (reports !== undefined) this.#pace.applyNews(reports, now);
+    if (reports === undefined) return;
+    for (const { instance, phase } of this.#pace.applyNews(reports, now)) {
+      this.#writePace(instance, phase);
+    }
   }
 
   /** Records the time for which a health answer says that its endpoint stays cold. */
@@ -193,12 +196,11 @@
     this.#observeRecord(endpoint, now);
     const isCold = isLimited &&
       this.#coldLimits.getColdUntil(endpoint.instance, service) > now;
-    if (!isCold && this.#pace.size === 0) return undefined;
+    if (!isCold && !this.#pace.isPaced(endpoint.instance)) return undefined;
     const pool = this.#fleet.getPool(endpoint.zone, now);
     const paced = this.#pace.getPermit(endpoint.instance, pool, now);
     if (!isCold) return paced;
-    const cold = this.#createColdPermit(endpoint, service, pool);
-    return paced !== undefined && paced.intervalMs > cold.intervalMs ? paced : cold;
+    return policy.chooseSlowerPermit(this.#createColdPermit(endpoint, service, pool), paced);
   }
 
   #createColdPermit(
--- a/packages/policy/src/cold_limits.ts
+++ b/packages/policy/src/cold_limits.ts
@@ -59,8 +59,8 @@
  * Parts of the rate and of the slack above it that sends after an idle time may use. The rest is
  * for processes whose turns coincide.
  */
-const BURST_RATE_SHARE = 0.7;
-const BURST_SLACK_SHARE = 0.4;
+const BURST_RATE_SHARE = 0.85;
+const BURST_SLACK_SHARE = 0.5;
 const MAX_VALIDITY_MS = 1_000;
 
 /** Starts of endpoints that are known here. */
--- a/packages/policy/src/endpoint_limits.ts
+++ b/packages/policy/src/endpoint_limits.ts
@@ -96,6 +96,7 @@
  * phase, the next send could be too far away or coincide with those of other processes.
  */
 const REDRAW_FACTOR = 1.25;
+const EXACT_MARGIN = 2.5;
 
 /** Rates in force, by instance, and this process's share of them. */
 export class EndpointLimits {
@@ -159,7 +160,9 @@
     if (permit === undefined) return;
     const { intervalMs, validityMs } = permit;
     const schedule = this.#getPermitSchedule(instance, permit, now);
-    shiftSchedule(schedule, { intervalMs, validityMs, burstMs: validityMs, now });
+    // The send itself is part of what the validity allows at once.
+    const burstMs = Math.max(0, validityMs - intervalMs);
+    shiftSchedule(schedule, { intervalMs, validityMs, burstMs, now });
     schedule.sentAt = now;
   }
 
@@ -310,6 +313,15 @@
   }
 }
 
+/**
+ * Returns the slower of two permits, `paced` only if it is slower by `EXACT_MARGIN`: processes with
+ * exact turns send up to twice as fast while their turns are drawn anew.
+ */
+export function chooseSlowerPermit(cold: SendPermit, paced: SendPermit | undefined): SendPermit {
+  if (paced === undefined || paced.intervalMs < EXACT_MARGIN * cold.intervalMs) return cold;
+  return paced;
+}
+
 function computeWaitMs(
   schedule: SendSchedule,
   options: { readonly intervalMs: number; readonly validityMs: number; readonly now: number },
--- a/packages/policy/src/endpoint_pace.ts
+++ b/packages/policy/src/endpoint_pace.ts
@@ -80,8 +80,12 @@
 const SLOW_MARGIN_MS = 100;
 /** Time after which the mode ends even if the ramp has not, and the reports of it are dropped. */
 const MAX_MODE_MS = 60_000;
-/** Failures in a row, without slow start, from which an endpoint counts as failing. */
-const FAILING_COUNT = 3;
+/**
+ * Failures in a row, without slow start, from which an endpoint counts as failing. An error in an
+ * answer may be due to the request; no answer counts twice.
+ */
+const FAILING_COUNT = 6;
+const UNREACHABLE_WEIGHT = 2;
 /** Time within which the processes find that an endpoint fails. */
 const FAILURE_SPREAD_MS = 10_000;
 
@@ -111,6 +115,11 @@
     this.applyNews([{ ...report, ageMs: report.ageMs + ageMs, originAgeMs, rampAgeMs }], now);
   }
 
+  /** Whether `instance` is in slow start. */
+  isPaced(instance: core.InstanceId): boolean {
+    return this.#states.has(instance);
+  }
+
   /** Returns the time for which nothing is sent to `instance`, because a trial is under way. */
   getBlockedMs(instance: core.InstanceId, now: number): number {
     const state = this.#states.get(instance);
@@ -182,8 +191,15 @@
     return undefined;
   }
 
-  /** Applies what a peer reports; only the latest event of an endpoint counts. */
-  applyNews(reports: readonly PaceReport[], now: number): void {
+  /**
+   * Applies what a peer reports; only the latest event of an endpoint counts. Returns the endpoints
+   * whose phase has changed.
+   */
+  applyNews(
+    reports: readonly PaceReport[],
+    now: number,
+  ): { readonly instance: core.InstanceId; readonly phase: PaceChange }[] {
+    const changes: { readonly instance: core.InstanceId; readonly phase: PaceChange }[] = [];
     for (const report of reports) {
       const { version, rampAgeMs, failures, blockedMs } = report;
       const state = this.#states.get(report.instance);
@@ -202,11 +218,16 @@
       state.version = version;
       state.eventAt = now - report.ageMs;
       state.learnedAt = now;
-      const isTrial = rampAgeMs === undefined && state.rampFrom === undefined;
-      state.failures = isTrial ? Math.max(state.failures, failures) : failures;
+      const wasTrial = state.rampFrom === undefined;
+      const isTrial = rampAgeMs === undefined;
+      if (isTrial !== wasTrial) {
+        changes.push({ instance: report.instance, phase: isTrial ? "trial" : "ramp" });
+      }
+      state.failures = isTrial && wasTrial ? Math.max(state.failures, failures) : failures;
       state.rampFrom = rampAgeMs === undefined ? undefined : now - rampAgeMs;
       state.blockedUntil = now + blockedMs;
     }
+    return changes;
   }
 
   /** Lists what became known here after `since`, for reports to peers. */
@@ -254,7 +275,8 @@
   ): PaceChange | undefined {
     if (report === "answered") this.#failures.delete(instance);
     if (report === "answered" || report === "refused") return undefined;
-    const failures = (this.#failures.get(instance) ?? 0) + 1;
+    const weight = report === "failed" ? 1 : UNREACHABLE_WEIGHT;
+    const failures = (this.#failures.get(instance) ?? 0) + weight;
     this.#failures.set(instance, failures);
     if (failures < FAILING_COUNT) return undefined;
     this.#failures.delete(instance);
--- a/packages/policy/src/endpoint_pace_test.ts
+++ b/packages/policy/src/endpoint_pace_test.ts
@@ -1,6 +1,7 @@
 import * as core from "@peridotvale/core";
 import * as tap from "tap";
 import type * as placements from "./call_placement.ts";
+import * as colds from "./cold_limits.ts";
 import * as rates from "./endpoint_limits.ts";
 import * as paces from "./endpoint_pace.ts";
 import * as fleets from "./fleet_estimate.ts";
@@ -25,6 +26,8 @@
   readonly endpointCount?: number;
   /** Whether the endpoints have run for long; otherwise they start at time 0. */
   readonly isRunning?: boolean;
+  /** Rate of a cold endpoint; by default there is none. */
+  readonly coldPerS?: number;
   readonly answer: (sends: readonly number[], now: number, random: core.RandomSource) => Answer;
 }
 
@@ -53,7 +56,8 @@
 
 /** Runs processes before endpoints that start at time 0 and are learned of within 200 ms. */
 function simulateStart(scenario: Scenario): Outcome {
-  const { size, seconds, demandPerS, endpointCount = 1, isRunning = false, answer } = scenario;
+  const { size, seconds, demandPerS, endpointCount = 1, isRunning = false, coldPerS, answer } =
+    scenario;
   const random = new core.SeededRandom(17);
   const processes = createProcesses(size);
   const instances = Array.from(
@@ -75,7 +79,12 @@
   }
   const send = (process: typeof processes[0], endpoint: number, now: number) => {
     const instance = instances[endpoint]!;
-    const permit = process.pace.getPermit(instance, process.fleet.getPool(ZONE, now), now);
+    const pool = process.fleet.getPool(ZONE, now);
+    const paced = process.pace.getPermit(instance, pool, now);
+    const options = { bounds: colds.DEFAULT_COLD_BOUNDS, originAt: 0 };
+    const permit = coldPerS === undefined
+      ? paced
+      : rates.chooseSlowerPermit(colds.createColdPermit(coldPerS, pool, options), paced);
     if (process.pace.getBlockedMs(instance, now) > 0) return;
     if (!process.limits.canSend(instance, size, now, permit)) return;
     process.limits.recordSend(instance, size, now, permit);
@@ -221,6 +230,24 @@
     t.end();
   });
 
+  tap.t.test(`${size} processes keep the rate of a cold endpoint while the pace grows`, (t) => {
+    for (const coldPerS of [5, 20, 60]) {
+      const { sends } = simulateStart({
+        size,
+        seconds: 12,
+        demandPerS: 2_000,
+        coldPerS,
+        answer: answerSoundly(30),
+      });
+      const counts = sends[0]!.map((at) => countBetween(sends[0]!, at, at + 1_000));
+      const allowed = 1.5 * coldPerS + 5;
+      t.ok(Math.max(...counts) <= allowed, `${Math.max(...counts)} of ${allowed} in a second`);
+      const use = countBetween(sends[0]!, 6_000, 12_000) / 6 / coldPerS;
+      t.ok(use >= 0.8, `use ${use}`);
+    }
+    t.end();
+  });
+
   tap.t.test(`${size} processes try the endpoints of a zone that returns`, (t) => {
     const { sends, soundAt } = simulateStart({
       size,
