--- a/packages/policy/src/endpoint_pace.ts
+++ b/packages/policy/src/endpoint_pace.ts
@@ -47,8 +47,9 @@
   eventAt: number;
   /** Time at which the last one became known here. */
   learnedAt: number;
-  /** Shortest time to an answer. */
-  bestMs: number;
+  /** Mean time to an answer, smoothed over many answers and over the last few. */
+  meanMs: number;
+  recentMs: number;
   slowedAt: number;
 }
 
@@ -76,8 +77,10 @@
 /** Time by which a failure, or an answer that is slow, sets the ramp back. */
 const FAILURE_SETBACK_MS = 1_600;
 const SLOW_SETBACK_MS = 400;
-const SLOW_FACTOR = 2.5;
+const SLOW_FACTOR = 2;
 const SLOW_MARGIN_MS = 100;
+const MEAN_WEIGHT = 0.05;
+const RECENT_WEIGHT = 0.3;
 /** Time after which the mode ends even if the ramp has not, and the reports of it are dropped. */
 const MAX_MODE_MS = 60_000;
 /**
@@ -185,9 +188,12 @@
     if (startedAt < state.validFrom || hasEnded(state, now)) return undefined;
     if (report === "answered") return this.#recordSound(state, now - startedAt, now);
     if (report !== "refused") return this.#recordFailure(state, now);
-    if (state.rampFrom === undefined) state.blockedUntil = now + BACKOFFS_MS[0]!;
-    else state.rampFrom = Math.min(now, state.rampFrom + SLOW_SETBACK_MS);
-    recordEvent(state, now);
+    if (state.rampFrom === undefined) {
+      state.blockedUntil = now + BACKOFFS_MS[0]!;
+      recordEvent(state, now);
+      return undefined;
+    }
+    state.rampFrom = Math.min(now, state.rampFrom + SLOW_SETBACK_MS);
     return undefined;
   }
 
@@ -293,19 +299,22 @@
 
   #recordSound(state: PaceState, durationMs: number, now: number): PaceChange | undefined {
     const isFirst = state.rampFrom === undefined;
-    const isSlow = durationMs > SLOW_FACTOR * state.bestMs + SLOW_MARGIN_MS;
-    state.bestMs = Math.min(state.bestMs, durationMs);
+    state.meanMs += MEAN_WEIGHT * (durationMs - state.meanMs);
+    state.recentMs += RECENT_WEIGHT * (durationMs - state.recentMs);
+    const isSlow = state.recentMs > SLOW_FACTOR * state.meanMs + SLOW_MARGIN_MS;
     state.failures = 0;
     if (isFirst) {
+      state.meanMs = durationMs;
+      state.recentMs = durationMs;
       state.rampFrom = now;
       state.blockedUntil = -Infinity;
       recordEvent(state, now);
       return "ramp";
     }
-    if (!isSlow || now - state.slowedAt < SLOW_SETBACK_MS) return undefined;
+    if (!isSlow || now - state.slowedAt < 2 * SLOW_SETBACK_MS) return undefined;
     state.slowedAt = now;
+    // Peers are not told: some requests take longer than others, and each process sees for itself.
     state.rampFrom = Math.min(now, state.rampFrom! + SLOW_SETBACK_MS);
-    recordEvent(state, now);
     return undefined;
   }
 
@@ -336,7 +345,8 @@
     version: 0,
     eventAt: originAt,
     learnedAt: -Infinity,
-    bestMs: Infinity,
+    meanMs: 0,
+    recentMs: 0,
     slowedAt: -Infinity,
   };
 }
--- a/packages/policy/src/endpoint_pace_test.ts
+++ b/packages/policy/src/endpoint_pace_test.ts
@@ -134,18 +134,21 @@
 for (const size of SIZES) {
   tap.t.test(`${size} processes give a sound endpoint its share within 3 s`, (t) => {
     for (const demandPerS of [20, 200]) {
-      for (const afterMs of [30, 1_200]) {
+      for (const [afterMs, spreadMs] of [[30, 0], [1_200, 0], [50, 1_000]] as const) {
         const { sends, wanted, soundAt } = simulateStart({
           size,
           seconds: 20,
           demandPerS,
-          answer: answerSoundly(afterMs),
+          answer: (_sends, _now, random) => ({
+            report: "answered",
+            afterMs: afterMs + Math.floor(spreadMs * random.next()),
+          }),
         });
         const from = soundAt[0]! + 3_000;
         const share = countBetween(sends[0]!, from, Infinity) /
           countBetween(wanted[0]!, from, Infinity);
         const trials = countBetween(sends[0]!, 0, soundAt[0]!);
-        const label = `${demandPerS}/s, answers after ${afterMs} ms`;
+        const label = `${demandPerS}/s, answers after ${afterMs} to ${afterMs + spreadMs} ms`;
         t.ok(share >= 0.9, `${label}: first sound at ${soundAt[0]} ms, then ${share}`);
         t.ok(trials <= 3, `${label}: ${trials} trials`);
       }
@@ -295,3 +298,23 @@
   t.equal(late.getPermit(instance, pool, 13_500), undefined, "its entry came late");
   t.end();
 });
+
+tap.t.test("a ramp is set back when answers become slow or are refused", (t) => {
+  const instance = core.createId<core.InstanceId>("e");
+  const pool = { share: 1, size: 7, place: { size: 7, rank: 1 } };
+  const measureInterval = (durationMs: number, report: placements.AttemptReport) => {
+    const pace = new paces.EndpointPace();
+    pace.startPace(instance, 0, 0);
+    pace.recordSend(instance, 0);
+    pace.recordEnd(instance, "answered", { startedAt: 0, now: 30 });
+    for (let now = 500; now < 1_000; now += 100) {
+      pace.recordEnd(instance, report, { startedAt: now - durationMs, now });
+    }
+    return pace.getPermit(instance, pool, 1_300)!.intervalMs;
+  };
+  const soundMs = measureInterval(30, "answered");
+  t.ok(measureInterval(490, "answered") >= 2 * soundMs, "slow");
+  t.ok(measureInterval(30, "refused") >= 2 * soundMs, "refused");
+  t.ok(measureInterval(30, "failed") > 2 * soundMs, "failed");
+  t.end();
+});
