--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -117,7 +117,7 @@
     request.endpoint = endpoint;
     const startedAt = this.#context.clock.now();
     this.#context.callPlacement.recordStart(endpoint.instance, startedAt);
-    this.#context.limitAgent.recordSend(endpoint.instance, startedAt);
+    this.#context.limitAgent.recordSend(endpoint, startedAt);
     return new Promise((resolve) => {
       const call = new CallExchange({
         request,
@@ -134,6 +134,7 @@
           }
           const now = this.#context.clock.now();
           this.#context.callPlacement.recordEnd(endpoint.instance, report, { startedAt, now });
+          this.#context.limitAgent.recordEnd(endpoint, report, startedAt);
           if (result.type === "no_answer" && result.reason === "misdirected") {
             this.#context.publishChanges(
               this.#context.directory.recordMisdirected(endpoint.instance, now),
--- a/packages/gateway/src/engine_control.ts
+++ b/packages/gateway/src/engine_control.ts
@@ -50,6 +50,8 @@
   readonly isHealthy: boolean | undefined;
   /** Instance that answered the probe; undefined if the answer does not name it. */
   readonly instance: core.InstanceId | undefined;
+  /** Time for which the endpoint stays cold; undefined if the answer does not state it. */
+  readonly coldLeftMs: number | undefined;
 }
 
 /** Client for the calls that the gateway makes in addition to forwarding callers' requests. */
--- a/packages/gateway/src/evacuation_agent.ts
+++ b/packages/gateway/src/evacuation_agent.ts
@@ -9,6 +9,8 @@
 
 export interface EvacuationAgentOptions {
   readonly logger: core.Logger;
+  /** Called when the evacuation of a zone has ended. */
+  readonly onRestored: (entry: policy.ZoneEvacuation) => void;
 }
 
 export class EvacuationAgent {
@@ -62,5 +64,6 @@
       revision,
       from,
     });
+    if (!isEvacuated) this.#options.onRestored(entry);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -90,6 +90,7 @@
       self: { process, zone, address: this.#peerAgent.address, linkMbps },
       logger: options.logger,
       random: options.random,
+      onPublished: () => this.#context.limitAgent.recordAnnouncement(options.clock.now()),
     });
     this.#storeAgent = new storeAgents.StoreAgent({
       store: options.store,
@@ -241,8 +242,14 @@
       clock,
       logger,
       random,
+      self: { process: settings.process, zone: settings.zone },
       getFleetSize: () => this.#peerAgent.knownPeerCount + 1,
       countPrecedingPeers: () => this.#peerAgent.countPrecedingPeers(),
+      listKnownPeers: () => this.#peerAgent.listKnownPeers(),
+      getBounds: () => this.#context.settings.bounds,
+      isPaceEnabled: () => this.#context.settings.isPaceEnabled === true,
+      getListedAt: () => this.#storeAgent.listedAt,
+      getService: (service) => config.inForce?.config.services.get(service),
     });
     return {
       settings,
@@ -274,7 +281,11 @@
         onCrash: (instance, now) => this.#context.enginePlacement.recordCrash(instance, now),
         onQuarantined: (now) => this.#streamForwarder.applyQuarantine(now),
       }),
-      evacuationAgent: new evacuations.EvacuationAgent({ logger }),
+      evacuationAgent: new evacuations.EvacuationAgent({
+        logger,
+        onRestored: ({ zone, revision }) =>
+          limitAgent.recordZoneRestored(zone, clock.now(), revision),
+      }),
       engineControl: this.#options.engineControl,
       engineStarts: new policy.EngineStarts(),
       getRetryBudget: (service) => this.#getRetryBudget(service),
@@ -328,6 +339,7 @@
       limits: limitAgent.listNews(scope, now),
       evacuations: this.#context.evacuationAgent.listEntries(),
       leaving: signalAgent.listNews(scope, now),
+      paces: limitAgent.listPaceNews(scope, now),
       store: release === undefined ? undefined : {
         release,
         confirmAgeMs: config.getConfirmAgeMs(now),
@@ -352,6 +364,7 @@
     this.#context.quarantineAgent.applyNews(report.quarantine, now);
     this.#context.limitAgent.applyNews(report.limits, now);
     this.#context.signalAgent.applyNews(report.leaving, now);
+    this.#context.limitAgent.applyPaceNews(report.paces, now);
     const { store } = report;
     if (store === undefined) return;
     // A peer that does not report evacuations may skip them, so that its revision needs a listing.
@@ -389,7 +402,7 @@
   #expireEntries(): void {
     const now = this.#options.clock.now();
     this.#context.quarantineAgent.expireEvidence(now);
-    this.#context.limitAgent.expireLimits(now);
+    this.#context.limitAgent.update(this.#context.directory.listUsableInstances(), now);
     this.#context.signalAgent.expirePauses(now);
     // Peaks between requests count too.
     this.#countConnectionSharers(now);
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -22,6 +22,8 @@
   /** Time from SIGTERM to SIGKILL. */
   readonly gracePeriodMs: number;
   readonly retries: policy.RetryBounds;
+  /** What a cold endpoint may receive in a second; the default bounds if absent. */
+  readonly cold?: policy.ColdBounds;
 }
 
 export interface GatewaySettings {
@@ -35,5 +37,7 @@
   readonly peers: ListenAddress;
   /** Bandwidth of the VM's network link; 0 if it is not known. */
   readonly linkMbps: number;
+  /** Whether the endpoints of all services start slowly; otherwise of those that are cold first. */
+  readonly isPaceEnabled?: boolean;
   readonly bounds: GatewayBounds;
 }
--- a/packages/gateway/src/generation_relay.ts
+++ b/packages/gateway/src/generation_relay.ts
@@ -322,8 +322,8 @@
     const { memory, lastEventId } = options;
     const upstream = this.#upstream;
     const { endpoint } = upstream;
-    this.#progress.recordStart();
     this.#sentAt = this.#context.clock.now();
+    this.#progress.recordStart(this.#sentAt);
     this.request.endpoint = endpoint;
     if (memory === undefined) {
       this.#context.enginePlacement.recordStart(endpoint.instance, this.request.id, this.size);
--- a/packages/gateway/src/hand_over_fallback.ts
+++ b/packages/gateway/src/hand_over_fallback.ts
@@ -118,7 +118,7 @@
     }
     failedTargets.add(endpoint.instance);
     enginePlacement.recordStart(endpoint.instance, request.id, size);
-    context.limitAgent.recordSend(endpoint.instance, clock.now());
+    context.limitAgent.recordSend(endpoint, clock.now());
     const copy = await copyMemory(context, request.id, {
       source,
       target: endpoint,
--- a/packages/gateway/src/leave_watcher.ts
+++ b/packages/gateway/src/leave_watcher.ts
@@ -76,6 +76,9 @@
     if (health.instance !== undefined && health.instance !== instance) {
       return context.publishChanges(context.directory.recordMisdirected(instance, now));
     }
+    if (health.coldLeftMs !== undefined) {
+      context.limitAgent.recordColdStatement(instance, health.coldLeftMs, now);
+    }
     context.signalAgent.recordSignals(endpoint, health);
     if (health.isHealthy !== false) return;
     context.publishChanges(context.directory.recordAnnouncedLeaving(instance, now));
--- a/packages/gateway/src/peer_agent.ts
+++ b/packages/gateway/src/peer_agent.ts
@@ -93,6 +93,11 @@
     return this.#registry.size;
   }
 
+  /** Lists the other processes that are known, whether linked or not. */
+  listKnownPeers(): peers.ProcessAddress[] {
+    return this.#registry.listAddresses();
+  }
+
   /** Returns the number of known processes whose names precede this one's. */
   countPrecedingPeers(): number {
     const { process } = this.#options.settings;
@@ -368,10 +373,16 @@
 
 /** Encodes what the news are about, without their ages, which change all the time. */
 function encodeNewsSubjects(report: types.OwnReport): string {
-  const { quarantine, limits, evacuations, leaving } = report;
+  const { quarantine, limits, evacuations, leaving, paces = [] } = report;
   const crashes = quarantine.crashes.map(({ instance, suspects }) => [instance, suspects.length]);
   const soundParts = quarantine.soundParts.map(({ part }) => part);
   const limitRates = limits.map(({ instance, ratePerS }) => [instance, ratePerS]);
   const starts = leaving.map(({ instance, startedAt }) => [instance, startedAt]);
-  return JSON.stringify([crashes, soundParts, limitRates, evacuations, starts]);
+  const pacePhases = paces.map(({ instance, failures, rampAgeMs, blockedMs }) => [
+    instance,
+    failures,
+    rampAgeMs === undefined,
+    blockedMs > 0,
+  ]);
+  return JSON.stringify([crashes, soundParts, limitRates, evacuations, starts, pacePhases]);
 }
--- a/packages/gateway/src/peer_agent_options.ts
+++ b/packages/gateway/src/peer_agent_options.ts
@@ -15,6 +15,7 @@
   /** All known evacuations of zones; an empty list states that the sender knows of none. */
   readonly evacuations: readonly policy.ZoneEvacuation[];
   readonly leaving: readonly policy.LeaveSignalReport[];
+  readonly paces?: readonly policy.PaceReport[];
 }
 
 /** When a peer's report arrived, and how it relates to earlier reports. */
--- a/packages/gateway/src/run_progress.ts
+++ b/packages/gateway/src/run_progress.ts
@@ -17,6 +17,8 @@
   #lastEventAt: number | undefined;
   #eventCount = 0;
   #isSound = false;
+  /** Time at which the request was sent to the current engine. */
+  #sentAt = -Infinity;
 
   constructor(context: contexts.GatewayContext, options: {
     readonly request: requests.OpenRequest;
@@ -33,7 +35,8 @@
   }
 
   /** Records that the request is sent to an engine. */
-  recordStart(): void {
+  recordStart(now: number): void {
+    this.#sentAt = now;
     this.#firstEventAt = undefined;
   }
 
@@ -52,7 +55,10 @@
       this.#context.metrics.recordFirstToken(labels, now - this.#request.arrivedAt);
     }
     const elapsedMs = this.#lastEventAt === undefined ? undefined : now - this.#lastEventAt;
-    this.#firstEventAt ??= now;
+    if (this.#firstEventAt === undefined) {
+      this.#firstEventAt = now;
+      this.#context.limitAgent.recordEnd(endpoint, "answered", this.#sentAt);
+    }
     if (now - this.#firstEventAt >= quarantines.SOUND_OUTPUT_MS) this.#recordSoundOutput(now);
     this.#lastEventAt = now;
     this.#context.enginePlacement.recordProgress(endpoint.instance, this.#request.id, {
--- a/packages/gateway/src/signal_agent.ts
+++ b/packages/gateway/src/signal_agent.ts
@@ -82,7 +82,7 @@
 
   /** Whether pauses and limits permit a request to `endpoint` now. */
   canSend(endpoint: core.EndpointRecord, now: number): boolean {
-    return !this.isHeldOff(endpoint) && this.#options.limitAgent.canSend(endpoint.instance, now);
+    return !this.isHeldOff(endpoint) && this.#options.limitAgent.canSend(endpoint, now);
   }
 
   /** Returns the time until pauses and limits permit a request to an endpoint of `service`. */
--- a/packages/gateway/src/silence_watcher.ts
+++ b/packages/gateway/src/silence_watcher.ts
@@ -71,7 +71,7 @@
     const retryBudget = context.getRetryBudget(routed.service);
     if (!retryBudget.takeRetry(now, context.getProcessCount())) return;
     context.enginePlacement.recordStart(endpoint.instance, request.id, relay.size);
-    context.limitAgent.recordSend(endpoint.instance, now);
+    context.limitAgent.recordSend(endpoint, now);
     context.metrics.recordRetry("silent_generation");
     context.logger.write("silent_replaced", {
       request: request.id,
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -196,7 +196,7 @@
       if (endpoint === undefined) return false;
       // The load is recorded before the relay starts, so that the next choice includes it.
       context.enginePlacement.recordStart(endpoint.instance, generation.request, generation.size);
-      context.limitAgent.recordSend(endpoint.instance, now);
+      context.limitAgent.recordSend(endpoint, now);
       context.pool.holdConnection(endpoint.endpoint);
       hasPlacedGeneration = true;
       this.#settleWaiter(generation.request, endpoint);
@@ -314,6 +314,10 @@
     try {
       const failure = await relay.run();
       if (failure !== undefined) attempts.recordFailure(failure, [endpoint, relay.endpoint]);
+      if (failure !== undefined) {
+        const report = failure.outcome === "not_run" ? "refused" : "failed";
+        context.limitAgent.recordEnd(relay.endpoint, report, now);
+      }
       return failure;
     } finally {
       this.#silenceWatcher.removeRelay(relay);
--- a/packages/peers/src/codec.ts
+++ b/packages/peers/src/codec.ts
@@ -186,7 +186,7 @@
     const { process, zone, incarnation, sentAt, isLost } = report;
     return [process, zone, incarnation, sentAt, isLost, loads];
   });
-  const { quarantine, limits, leaving, ...report } = message;
+  const { quarantine, limits, leaving, paces = [], ...report } = message;
   const hasNews = quarantine.crashes.length > 0 || quarantine.soundParts.length > 0;
   return {
     ...report,
@@ -194,6 +194,7 @@
     ...(hasNews ? { quarantine } : {}),
     ...(limits.length > 0 ? { limits } : {}),
     ...(leaving.length > 0 ? { leaving } : {}),
+    ...(paces.length > 0 ? { paces } : {}),
   };
 }
 
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -97,6 +97,8 @@
   readonly evacuations?: readonly policy.ZoneEvacuation[];
   /** Starts of endpoints of which the sender learned recently that they stated they leave. */
   readonly leaving: readonly policy.LeaveSignalReport[];
+  /** Endpoints in slow start; missing if there are none, or from versions without slow start. */
+  readonly paces?: readonly policy.PaceReport[];
   /** Loads of other processes that the sender, a hub, passes on since its last report. */
   readonly relayed: readonly policy.RelayedLoads[];
 }
--- a/packages/policy/src/config_check_test.ts
+++ b/packages/policy/src/config_check_test.ts
@@ -35,7 +35,15 @@
 }
 
 function createService(changes: Partial<core.RoutedService> = {}): core.RoutedService {
-  return { name: DESK, maxConnections: 1, healthPath: "/", engine: undefined, ...changes };
+  return {
+    name: DESK,
+    maxConnections: 1,
+    healthPath: "/",
+    coldStartMs: 0,
+    coldPerS: 0,
+    engine: undefined,
+    ...changes,
+  };
 }
 
 function createWorkspace(name: string, keys: readonly string[]): checks.DeclaredWorkspace {
--- a/packages/policy/src/config_comparison_test.ts
+++ b/packages/policy/src/config_comparison_test.ts
@@ -38,6 +38,8 @@
     name: core.createId<core.ServiceName>(name),
     maxConnections: 1,
     healthPath: "/",
+    coldStartMs: 0,
+    coldPerS: 0,
     engine,
   };
 }
