Account of callers' memory and limit on their connections

Cause: a process holds whatever callers and endpoints send it. Change: pure decisions about who is granted memory, waits, is refused or closed (caller_memory), and which idle connection makes room for another one (caller_connections); two mutations. Not used yet.

--- a/packages/bench/src/policy_mutations.ts
+++ b/packages/bench/src/policy_mutations.ts
@@ -74,6 +74,20 @@
     to: "",
     test: "packages/policy/dist/config_register_test.js",
   },
+  {
+    name: "large bodies leave a reserve for small requests",
+    file: "packages/policy/src/caller_memory.ts",
+    from: "totalBytes + this.uncollectedBytes <= this.#budgetBytes * LARGE_SHARE",
+    to: "totalBytes <= this.#budgetBytes * 4",
+    test: "packages/policy/dist/caller_memory_test.js",
+  },
+  {
+    name: "callers that stand still are closed while others wait for their memory",
+    file: "packages/policy/src/caller_memory.ts",
+    from: "isShort && stallMs >= PRESSURE_STALL_MS && isLarge(holder)",
+    to: "isShort && stallMs < 0",
+    test: "packages/policy/dist/caller_memory_test.js",
+  },
   {
     name: "entries that expire during a store outage are kept for a grace period after it",
     file: "packages/policy/src/instance_directory.ts",
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -1,6 +1,8 @@
 /** Scheduling, routing and membership decisions, as state machines and functions without I/O. */
 export * from "./call_placement.ts";
 export * from "./call_scheduler.ts";
+export * from "./caller_connections.ts";
+export * from "./caller_memory.ts";
 export * from "./concurrency_limit.ts";
 export * from "./config_register.ts";
 export * from "./crash_attribution.ts";
