The gateway keeps an account of the memory of its callers

Cause: bodies were buffered up to 48 MiB of complete ones, incomplete ones and answers without limit; refused bodies were read on; each chunk was kept as an object; descriptors were not limited. Change: memory_agent (adapter of policy/caller_memory), body_reader and answer_collector grant memory, pause or refuse; refused bodies are not read on and their connection is closed; large answers are sent in slices, and callers that do not read are closed; idle connections make room for others; the parser of a connection with 16 unanswered requests is stopped. Released buffers are collected early.

--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -340,6 +340,20 @@
     to: "return this.#context.config.inForce !== undefined &&",
     test: "platform/dist/forwarding_test.js",
   },
+  {
+    name: "a body that is announced as too large is not read",
+    file: "packages/gateway/src/body_reader.ts",
+    from: "if ((this.#announcedBytes ?? 0) > maxBodyBytes) {",
+    to: "if (maxBodyBytes < 0) {",
+    test: "platform/dist/caller_memory_test.js",
+  },
+  {
+    name: "a body that waited for memory is read on",
+    file: "packages/gateway/src/body_reader.ts",
+    from: "incoming.socket.resume();",
+    to: "",
+    test: "platform/dist/caller_memory_test.js",
+  },
   {
     name: "a draining process waits for its open requests before it exits",
     file: "packages/gateway/src/gateway.ts",
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -80,6 +80,11 @@
       "reason",
     ],
   );
+  readonly #callerRejections = this.#createCounter(
+    "caller_rejections",
+    "Callers refused, or closed, by reason.",
+    ["action", "reason"],
+  );
   readonly #brokenGenerations = this.#createCounter(
     "broken_generations",
     "Generations whose stream broke off, by whether they had produced output.",
@@ -140,6 +145,11 @@
     this.#droppedAnswers.inc({ reason });
   }
 
+  /** Counts a caller that was refused, or whose connection was closed, to protect the process. */
+  recordCallerRejection(action: "refused" | "closed", reason: string): void {
+    this.#callerRejections.inc({ action, reason });
+  }
+
   /** Counts a generation whose engine's stream broke off. */
   recordBrokenGeneration(progress: "before_output" | "during_output"): void {
     this.#brokenGenerations.inc({ progress });
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -7,6 +7,7 @@
 import type * as core from "@peridotvale/core";
 import * as policy from "@peridotvale/policy";
 import * as answers from "./answer_check.ts";
+import * as collectors from "./answer_collector.ts";
 import type * as codec from "./codec.ts";
 import type * as pools from "./connection_pool.ts";
 import type * as contexts from "./gateway_context.ts";
@@ -249,8 +250,7 @@
   #answerStatus = 0;
   #answerHeaders: codec.RawHeaders = [];
   #answerHead: codec.AnswerHead | undefined;
-  readonly #bodyChunks: Buffer[] = [];
-  #bodyBytes = 0;
+  readonly #body: collectors.AnswerCollector;
 
   constructor(options: {
     readonly request: requests.OpenRequest;
@@ -259,6 +259,13 @@
     readonly onEnd: (result: AttemptResult) => void;
   }) {
     this.#options = options;
+    const { memory, holder } = options.request.flow;
+    this.#body = new collectors.AnswerCollector({
+      memory,
+      holder,
+      maxBytes: MAX_ANSWER_BYTES,
+      getExchange: () => this.#exchange,
+    });
   }
 
   /** The connection that the request was sent on; undefined if it was not sent. */
@@ -292,12 +299,11 @@
     this.#answerHead = head;
     const fault = this.#findFault();
     if (fault?.outcome !== "unknown") onLimit(head.rateLimitPerS);
+    if (!this.#hasEnded) this.#body.startAnswer(headers);
   }
 
   onData(chunk: Buffer): void {
-    this.#bodyChunks.push(chunk);
-    this.#bodyBytes += chunk.length;
-    if (this.#bodyBytes > MAX_ANSWER_BYTES) this.#exchange?.abort("answer too large");
+    this.#body.add(chunk);
   }
 
   onEnd(): boolean {
@@ -311,7 +317,7 @@
       answer: {
         status: this.#answerStatus,
         headers: this.#answerHeaders,
-        body: Buffer.concat(this.#bodyChunks),
+        body: this.#body.finish(),
         isClosing: this.#answerHead?.isClosing ?? false,
       },
     });
@@ -341,6 +347,7 @@
   #end(result: AttemptResult): void {
     if (this.#hasEnded) return;
     this.#hasEnded = true;
+    this.#body.drop();
     this.#options.onEnd(result);
   }
 }
--- a/packages/gateway/src/front_server.ts
+++ b/packages/gateway/src/front_server.ts
@@ -7,15 +7,24 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as core from "@peridotvale/core";
+import * as policy from "@peridotvale/policy";
 import type * as settingsModule from "./gateway_settings.ts";
+import type * as memories from "./memory_agent.ts";
+import * as stops from "./parser_stop.ts";
 
 export interface FrontServerOptions {
   readonly clock: core.Clock;
+  readonly memory: memories.MemoryAgent;
+  /** Largest number of callers' connections. */
+  readonly maxConnections: number;
   readonly onRequest: (request: http.IncomingMessage, response: http.ServerResponse) => void;
 }
 
 /** A caller's connection. */
 interface Connection {
+  readonly socket: net.Socket;
+  /** Whether a request on the connection has not been answered. */
+  readonly hasOpenRequest: boolean;
   /** Answers whose last byte has not been passed to the operating system yet. */
   readonly openAnswers: Set<http.ServerResponse>;
   /** Whether an answer ends the connection, so that later requests on it get none. */
@@ -54,12 +63,16 @@
 /** Accepts callers' connections and hands their requests over. */
 export class FrontServer {
   readonly #clock: core.Clock;
+  readonly #memory: memories.MemoryAgent;
   readonly #server: http.Server;
   readonly #connections = new Map<net.Socket, Connection>();
+  #maxConnections: number;
   #isDraining = false;
 
   constructor(options: FrontServerOptions) {
     this.#clock = options.clock;
+    this.#memory = options.memory;
+    this.#maxConnections = options.maxConnections;
     this.#server = new GracefulServer({
       maxHeaderSize: PARSER_MAX_HEADER_BYTES,
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
@@ -93,6 +106,11 @@
     this.#server.headersTimeout = limits.headerTimeoutMs;
   }
 
+  /** Sets the largest number of callers' connections. */
+  updateMaxConnections(maxConnections: number): void {
+    this.#maxConnections = maxConnections;
+  }
+
   /** From now on answers announce that their connection will be closed. */
   startDraining(): void {
     this.#isDraining = true;
@@ -131,8 +149,15 @@
 
   #addConnection(socket: net.Socket): void {
     socket.setNoDelay(true);
+    if (this.#connections.size >= this.#maxConnections) this.#closeOneConnection(socket);
+    if (socket.destroyed) return;
+    const openAnswers = new Set<http.ServerResponse>();
     this.#connections.set(socket, {
-      openAnswers: new Set(),
+      socket,
+      openAnswers,
+      get hasOpenRequest() {
+        return openAnswers.size > 0;
+      },
       hasLastAnswer: false,
       hasFailed: false,
       answeredBytes: 0,
@@ -142,6 +167,14 @@
     socket.once("close", () => this.#connections.delete(socket));
   }
 
+  /** Makes room for the connection `socket`, or closes it if all others have an open request. */
+  #closeOneConnection(socket: net.Socket): void {
+    const chosen = policy.chooseConnectionToClose(this.#connections.values())?.socket ?? socket;
+    this.#memory.recordRejection("closed", "too_many_connections", { socket: chosen });
+    this.#connections.delete(chosen);
+    chosen.destroy();
+  }
+
   /**
    * Answers a request that cannot be read or is not complete in time, and closes its connection.
    * While an earlier request is at work, its caller would take that answer for its own, and 408
@@ -170,6 +203,12 @@
     const connection = this.#connections.get(socket);
     if (connection === undefined || connection.closedAt !== undefined) return false;
     if (connection.hasLastAnswer) return false;
+    if (this.#memory.decideAdmission(connection.openAnswers.size) === "closed") {
+      this.#memory.recordRejection("closed", "too_many_pipelined", { socket });
+      stops.stopParser(socket);
+      socket.destroy();
+      return false;
+    }
     if (this.#isDraining) closeAfterAnswer(connection, response);
     if (!response.shouldKeepAlive) connection.hasLastAnswer = true;
     connection.openAnswers.add(response);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import * as healthServers from "./health_server.ts";
 import * as leaveWatchers from "./leave_watcher.ts";
 import * as limitAgents from "./limit_agent.ts";
+import * as memories from "./memory_agent.ts";
 import * as peerAgents from "./peer_agent.ts";
 import type * as peerOptions from "./peer_agent_options.ts";
 import * as quarantines from "./quarantine_agent.ts";
@@ -136,6 +137,8 @@
     });
     this.#frontServer = new fronts.FrontServer({
       clock: options.clock,
+      memory: this.#context.memory,
+      maxConnections: policy.computeMaxConnections(options.settings.maxFds),
       onRequest: (request, response) => {
         const handle = () => this.#requestHandler.handle(request, response);
         core.startTask("handle_request", handle, options.logger);
@@ -174,6 +177,8 @@
   /** Applies reloaded settings; changed listen addresses take effect after a restart only. */
   updateSettings(settings: settingsModule.GatewaySettings): void {
     this.#context.settings = settings;
+    this.#context.memory.updateMemory(settings.memoryMb);
+    this.#frontServer.updateMaxConnections(policy.computeMaxConnections(settings.maxFds));
     this.#retryBudgets.clear();
     this.#options.logger.write("settings_applied", {});
   }
@@ -242,6 +247,7 @@
       callPlacement: new policy.CallPlacement(),
       enginePlacement: new policy.EnginePlacement(peerLoads),
       peerLoads,
+      memory: new memories.MemoryAgent({ clock, logger, metrics, memoryMb: settings.memoryMb }),
       limitAgent: new limitAgents.LimitAgent({
         clock,
         logger,
@@ -334,7 +340,10 @@
 
   #applyConfig(now: number): void {
     const limits = this.#context.config.inForce?.config.limits;
-    if (limits !== undefined) this.#frontServer.updateLimits(limits);
+    if (limits !== undefined) {
+      this.#frontServer.updateLimits(limits);
+      this.#context.memory.updateBodyStall(limits.idleTimeoutMs);
+    }
     this.#requestHandler.applyConfig(now);
   }
 
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -6,6 +6,7 @@
 import type * as pools from "./connection_pool.ts";
 import type * as controls from "./engine_control.ts";
 import type * as limitAgents from "./limit_agent.ts";
+import type * as memories from "./memory_agent.ts";
 import type * as quarantines from "./quarantine_agent.ts";
 import type * as settingsModule from "./gateway_settings.ts";
 
@@ -24,6 +25,7 @@
   readonly enginePlacement: policy.EnginePlacement;
   /** Load that other gateway processes place on engines. */
   readonly peerLoads: policy.PeerLoads;
+  readonly memory: memories.MemoryAgent;
   readonly limitAgent: limitAgents.LimitAgent;
   readonly quarantineAgent: quarantines.QuarantineAgent;
   readonly engineControl: controls.EngineControl;
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -33,5 +33,9 @@
   readonly peers: ListenAddress;
   /** Bandwidth of the VM's network link; 0 if it is not known. */
   readonly linkMbps: number;
+  /** Memory of the VM; undefined if it is not known. */
+  readonly memoryMb?: number | undefined;
+  /** Descriptors of the VM; undefined if they are not known. */
+  readonly maxFds?: number | undefined;
   readonly bounds: GatewayBounds;
 }
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -6,6 +6,8 @@
 
 import type * as http from "node:http";
 import * as core from "@peridotvale/core";
+import * as senders from "./answer_sender.ts";
+import type * as flows from "./caller_flow.ts";
 import type * as codec from "./codec.ts";
 import type * as pools from "./connection_pool.ts";
 
@@ -36,6 +38,8 @@
   readonly path: string;
   readonly headers: codec.RawHeaders;
   readonly arrivedAt: number;
+  /** The part of the request in the account of callers' memory. */
+  readonly flow: flows.CallerFlow;
   body: Buffer | undefined;
   routed: RoutedRequest | undefined;
   /** Time at which the answer is due; a new configuration with a shorter time-out lowers it. */
@@ -58,6 +62,7 @@
     readonly incoming: http.IncomingMessage;
     readonly response: http.ServerResponse;
     readonly arrivedAt: number;
+    readonly flow: flows.CallerFlow;
     readonly encodeAnswer: (headers: codec.RawHeaders) => string[];
   }) {
     this.id = options.id;
@@ -66,6 +71,7 @@
     this.path = options.incoming.url ?? "/";
     this.headers = options.incoming.rawHeaders;
     this.arrivedAt = options.arrivedAt;
+    this.flow = options.flow;
     this.#response = options.response;
     this.#encodeAnswer = options.encodeAnswer;
     options.response.on("error", () => {});
@@ -137,7 +143,9 @@
       answer.status,
       mayHaveBody ? headers : this.#encodeAnswer(answer.headers),
     );
-    this.#response.end(mayHaveBody ? answer.body : undefined);
+    this.flow.startSending();
+    if (!mayHaveBody) return void this.#response.end();
+    senders.sendBody(this.#response, answer.body, (bytes) => this.flow.recordSent(bytes));
   }
 
   /** Sends the status and the headers of a stream to the caller. */
@@ -148,12 +156,18 @@
 
   /** Sends events to the caller. Returns false if too many bytes wait for the caller to read. */
   writeEvents(bytes: Buffer): boolean {
-    return this.#response.write(bytes);
+    this.flow.recordSent(bytes.length);
+    if (this.#response.write(bytes)) return true;
+    this.flow.recordBlocked(this.#response.writableLength);
+    return false;
   }
 
   /** Calls `listener` once the caller has read the buffered bytes. */
   onDrained(listener: () => void): void {
-    this.#response.once("drain", listener);
+    this.#response.once("drain", () => {
+      this.flow.recordDrained();
+      listener();
+    });
   }
 
   /** Ends the response after the last event of a complete stream. */
@@ -183,10 +197,16 @@
     if (problem.retryAfterMs !== undefined) {
       headers["retry-after"] = (problem.retryAfterMs / 1000).toFixed(3);
     }
+    this.flow.startSending();
     this.#response.writeHead(problem.status, headers);
     this.#response.end(body);
   }
 
+  /** From now on the answer announces that the connection closes after it. */
+  closeAfterAnswer(): void {
+    if (!this.isHeadSent) this.#response.setHeader("Connection", "close");
+  }
+
   /** Breaks off the stream whose failure is `end`; its head has stated the status 200. */
   #abortStarted(end: RequestEnd): void {
     this.abortStream({ ...end, status: 200, outcome: "unknown" });
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -8,6 +8,7 @@
 import * as core from "@peridotvale/core";
 import * as policy from "@peridotvale/policy";
 import type * as calls from "./call_forwarder.ts";
+import * as flows from "./caller_flow.ts";
 import type * as contexts from "./gateway_context.ts";
 import * as requests from "./open_request.ts";
 import * as problems from "./problems.ts";
@@ -52,14 +53,13 @@
 const REQUEST_LINE_OVERHEAD_BYTES = 12;
 /** Colon, space and line end of a header line. */
 const HEADER_LINE_OVERHEAD_BYTES = 4;
-/** Limit on the total size of open requests' bodies; a request beyond it is refused with 503. */
-const MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024;
+/** Limit on bodies until a configuration is known. */
+const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
 /** Reads, checks and routes callers' requests, and records how each of them ended. */
 export class RequestHandler {
   readonly #options: RequestHandlerOptions;
   readonly #openRequests = new Set<requests.OpenRequest>();
-  #bufferedBodyBytes = 0;
   #stop: policy.DrainSchedule = policy.NO_STOP;
 
   constructor(options: RequestHandlerOptions) {
@@ -75,12 +75,20 @@
     const { context } = this.#options;
     const arrivedAt = context.clock.now();
     const head = context.codec.decodeRequest(incoming.rawHeaders);
+    const isAdmitted = context.memory.decideAdmission(0) === "admitted";
+    const flow = new flows.CallerFlow(context.memory, {
+      incoming,
+      response,
+      request: head.id ?? "",
+      maxBodyBytes: context.config.inForce?.config.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+    });
     const request = new requests.OpenRequest({
       id: head.id ?? ("" as core.RequestId),
       head,
       incoming,
       response,
       arrivedAt,
+      flow,
       encodeAnswer: (headers) => context.codec.encodeAnswer(headers),
     });
     this.#openRequests.add(request);
@@ -89,7 +97,8 @@
     });
     if (this.#stop !== policy.NO_STOP) request.updateAnswerBy(this.#stop.answerBy, arrivedAt);
     try {
-      await this.#serve(request, incoming);
+      if (isAdmitted) await this.#serve(request);
+      else this.#refuseUnread(request, 503, "memory_exhausted");
     } catch (error) {
       context.logger.write("request_failed", {
         request: request.id,
@@ -99,7 +108,7 @@
     } finally {
       request.setCancelHandler(undefined);
       this.#openRequests.delete(request);
-      this.#bufferedBodyBytes -= request.body?.length ?? 0;
+      flow.finishServing();
       this.#recordEnd(request);
     }
   }
@@ -128,19 +137,16 @@
     }
   }
 
-  async #serve(request: requests.OpenRequest, incoming: http.IncomingMessage): Promise<void> {
+  async #serve(request: requests.OpenRequest): Promise<void> {
     if (request.id === "") return this.#refuse(request, 400, "no_request_id");
     const limits = this.#options.context.config.inForce?.config.limits;
     if (limits !== undefined && computeHeadBytes(request) > limits.maxHeaderBytes) {
-      incoming.resume();
-      return this.#refuse(request, 431, "head_too_large");
+      return this.#refuseUnread(request, 431, "head_too_large");
     }
-    const body = await this.#readBody(request, incoming);
-    if (body === undefined || request.end !== undefined) return;
-    request.body = body.length > 0 || incoming.headers["content-length"] !== undefined ||
-        incoming.headers["transfer-encoding"] !== undefined
-      ? body
-      : undefined;
+    const reading = await this.#readBody(request);
+    if (reading === undefined || request.end !== undefined) return;
+    request.body = reading.body;
+    request.flow.startServing();
     const routed = await this.#findConfirmedRoute(request);
     if (routed === undefined || request.end !== undefined) return;
     request.routed = routed;
@@ -163,33 +169,17 @@
 
   async #readBody(
     request: requests.OpenRequest,
-    incoming: http.IncomingMessage,
-  ): Promise<Buffer | undefined> {
-    const limits = this.#options.context.config.inForce?.config.limits;
-    const maxBodyBytes = limits?.maxBodyBytes ?? 0;
-    const chunks: Buffer[] = [];
-    let bodyBytes = 0;
-    try {
-      for await (const chunk of incoming) {
-        bodyBytes += (chunk as Buffer).length;
-        if (limits !== undefined && bodyBytes > maxBodyBytes) {
-          this.#refuse(request, 413, "body_too_large");
-          incoming.resume();
-          return undefined;
-        }
-        if (this.#bufferedBodyBytes + bodyBytes > MAX_BUFFERED_BODY_BYTES) {
-          this.#refuse(request, 503, "memory_exhausted");
-          incoming.resume();
-          return undefined;
-        }
-        chunks.push(chunk as Buffer);
-      }
-    } catch {
-      // The caller disconnected before its request was complete; the request has not run.
-      return undefined;
-    }
-    this.#bufferedBodyBytes += bodyBytes;
-    return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+  ): Promise<{ readonly body: Buffer | undefined } | undefined> {
+    const result = await request.flow.reader.read();
+    if (result.type === "complete") return { body: result.body };
+    if (result.type === "refused") this.#refuseUnread(request, result.status, result.reason);
+    return undefined;
+  }
+
+  /** Refuses a request whose body is not read, and closes its connection. */
+  #refuseUnread(request: requests.OpenRequest, status: number, reason: string): void {
+    if (request.flow.refuse(reason)) request.closeAfterAnswer();
+    this.#refuse(request, status, reason);
   }
 
   /**
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -146,6 +146,7 @@
     if (this.#status >= FIRST_NON_SUCCESS_STATUS) {
       this.#failureChunks.push(chunk);
       const bodyBytes = this.#failureChunks.reduce((sum, part) => sum + part.length, 0);
+      this.#request.flow.recordPending(bodyBytes);
       if (bodyBytes > MAX_FAILURE_BODY_BYTES) this.abort("failure too large");
       return;
     }
@@ -154,6 +155,7 @@
       this.#hasDelivered = true;
       this.#listener.onEvents(events);
     }
+    this.#request.flow.recordPending(this.#splitter.pendingBytes);
     if (this.#splitter.pendingBytes > MAX_EVENT_BYTES) this.abort("event too large");
   }
 
