Tests of uncontrolled clients of the entry process

Cause: nothing showed what such clients do to an entry process. Change: the loads move to packages/standins and are run with 120 connections on a real entry process; same bounds (VmHWM under 150 MB, descriptors).

--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -1,5 +1,6 @@
 /** Stand-ins for external systems and a test harness that starts them; for tests only. */
 export * from "./caller.ts";
+export * from "./caller_load.ts";
 export * from "./child_cleanup.ts";
 export * from "./engine_model.ts";
 export * from "./engine_standin.ts";
--- a/packages/standins/src/test_fleet.ts
+++ b/packages/standins/src/test_fleet.ts
@@ -25,6 +25,8 @@
   readonly zones?: readonly string[];
   /** YAML that is appended to the settings of each entry process. */
   readonly extraSettings?: string;
+  /** Flags of Node for each entry process. */
+  readonly nodeFlags?: readonly string[];
   /** YAML of the manifest; by default, {@link testHarness.TEST_MANIFEST}. */
   readonly manifest?: string;
 }
@@ -52,6 +54,7 @@
     entryZones.map((zone, index) =>
       harness.startEntry(`${zone}-${index + 1}`, zone, {
         ...(options.extraSettings ? { extraSettings: options.extraSettings } : {}),
+        ...(options.nodeFlags ? { nodeFlags: options.nodeFlags } : {}),
       })
     ),
   );
