Callers that wait for memory leave a reserve for small requests

Cause: paused connections were admitted up to the whole budget, so that small requests were refused while many waited. Change: they fill at most nine tenths of it.

--- a/packages/policy/src/caller_memory.ts
+++ b/packages/policy/src/caller_memory.ts
@@ -33,6 +33,8 @@
 export const SMALL_BYTES = 64 * 1024;
 /** Share of the budget that large bodies and answers may fill. */
 const LARGE_SHARE = 0.75;
+/** Share of the budget that paused connections may fill, too; the rest is for small requests. */
+const WAITING_SHARE = 0.9;
 /** Objects of an open request and its response, besides its head. */
 export const REQUEST_COST_BYTES = 8 * 1024;
 /** Objects of a piece of a body, which are garbage once the piece is merged with others. */
@@ -207,7 +209,8 @@
     }
     // An attempt that was given up may still wait.
     if (this.#waiting.delete(holder)) this.charge(holder, "unread", -PAUSED_COST_BYTES);
-    if (this.totalBytes + PAUSED_COST_BYTES > this.#budgetBytes) return "refused";
+    const waitingBytes = this.totalBytes + PAUSED_COST_BYTES;
+    if (waitingBytes > this.#budgetBytes * WAITING_SHARE) return "refused";
     this.#waiting.set(holder, { kind, bytes, since: now });
     this.charge(holder, "unread", PAUSED_COST_BYTES);
     return "waiting";
--- a/packages/policy/src/caller_memory_test.ts
+++ b/packages/policy/src/caller_memory_test.ts
@@ -17,6 +17,12 @@
     return account.acquireRoom(holder, "body", BODY_BYTES, 0);
   });
   t.same(decisions, ["granted", "granted", "waiting", "waiting"]);
+  // Those that wait must not fill the reserve either.
+  for (let i = 0; i < 100; i += 1) {
+    const holder = account.addHolder(0, 0);
+    const decision = account.acquireRoom(holder, "body", BODY_BYTES, 0);
+    if (decision === "refused") account.removeHolder(holder);
+  }
   const small = account.addHolder(500, 0);
   t.equal(account.acquireRoom(small, "body", 10_000, 0), "granted");
   t.equal(account.decideAdmission(0), "admitted");
