The entry process keeps an account of the memory of its callers

Cause: bodies were buffered without a common limit and read on after a refusal. Change: packages/callers reads bodies with the gateway's body reader before the request is handed over, refuses those without room, sends large answers in slices and limits connections and pipelined requests; settings limits.memory_mb and limits.max_fds. callers and entry depend on the gateway package for it (@peridotvale/gateway/intake). Not covered: answers collected from services, and the text and JSON of a body.

--- a/packages/callers/src/server.ts
+++ b/packages/callers/src/server.ts
@@ -7,13 +7,16 @@
 import type * as net from "node:net";
 import * as crypto from "node:crypto";
 import * as core from "@peridotvale/core";
+import type * as memories from "@peridotvale/gateway/intake";
 import * as nodeServer from "@hono/node-server";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import * as hono from "hono";
 import { bodyLimit } from "hono/body-limit";
 import * as neverthrow from "neverthrow";
 import * as format from "./answer_formatter.ts";
+import * as connections from "./connection_limit.ts";
 import * as body from "./generation_body.ts";
+import * as intake from "./intake.ts";
 import * as heads from "./request_head.ts";
 import type * as handler from "./request_handler.ts";
 import * as sinks from "./sinks.ts";
@@ -26,6 +29,9 @@
   /** Time after which a caller that does not read its stream is disconnected. */
   readonly stallTimeoutMs: number;
   readonly clock: core.Clock;
+  readonly memory: memories.MemoryAgent;
+  /** Largest number of connections; Infinity if there is no limit. */
+  readonly maxConnections: number;
 }
 
 export interface CallerServer {
@@ -77,10 +83,21 @@
   const app = createApp(requestHandler, options);
   return new Promise((resolve, reject) => {
     const server = new GracefulServer({
+      ServerResponse: intake.MeteredResponse,
       maxHeaderSize: options.maxHeaderBytes,
       keepAliveTimeout: 60_000,
     });
-    server.on("request", nodeServer.getRequestListener(app.fetch));
+    const handle = nodeServer.getRequestListener(app.fetch);
+    const { memory, maxBodyBytes } = options;
+    server.on("request", (incoming, response) => {
+      const taken = intake.takeRequest(
+        incoming,
+        response as intake.MeteredResponse,
+        { memory, maxBodyBytes, handle },
+      );
+      taken.catch(() => response.destroy());
+    });
+    connections.registerConnectionLimit(server, options);
     server.listen(options.port, options.host, () => {
       const { port } = server.address() as net.AddressInfo;
       resolve(createServerHandle(server, `${options.host}:${port}`));
--- a/packages/callers/src/server_test.ts
+++ b/packages/callers/src/server_test.ts
@@ -1,5 +1,6 @@
 import * as http from "node:http";
 import * as core from "@peridotvale/core";
+import * as intake from "@peridotvale/gateway/intake";
 import * as neverthrow from "neverthrow";
 import * as tap from "tap";
 import type * as handler from "./request_handler.ts";
@@ -24,6 +25,13 @@
     maxHeaderBytes: 16_384,
     stallTimeoutMs: 10_000,
     clock: new core.SystemClock(),
+    memory: new intake.MemoryAgent({
+      clock: new core.SystemClock(),
+      logger: { write: () => {} },
+      metrics: new core.Metrics(),
+      memoryMb: undefined,
+    }),
+    maxConnections: Infinity,
   });
   t.teardown(() => server.destroy());
   const response = await new Promise<http.IncomingMessage>((resolve) => {
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -4,6 +4,7 @@
 import * as callers from "@peridotvale/callers";
 import * as core from "@peridotvale/core";
 import * as engines from "@peridotvale/engines";
+import * as intake from "@peridotvale/gateway/intake";
 import * as operators from "@peridotvale/operators";
 import * as platform from "@peridotvale/platform";
 import * as policy from "@peridotvale/policy";
@@ -91,6 +92,12 @@
     maxHeaderBytes: limits.maxHeaderBytes,
     stallTimeoutMs: settingsModule.getTimeouts(settings).callerStallMs,
     clock: options.clock,
+    memory: new intake.MemoryAgent({
+      ...options,
+      metrics: components.metrics,
+      memoryMb: limits.memoryMb,
+    }),
+    maxConnections: policy.computeMaxConnections(limits.maxFds),
   });
   const views = new operatorViews.OperatorViews({ ...components, ...capacity, front });
   const operatorServer = await operators.startOperatorServer(views, settings.operators);
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -62,6 +62,10 @@
         limitSchema,
         DEFAULT_MAX_OPEN_REQUESTS,
       ),
+      /** Memory of the VM, from which the memory for callers is derived. */
+      memory_mb: valibot.optional(limitSchema),
+      /** Descriptors of the VM, from which the number of callers' connections is derived. */
+      max_fds: valibot.optional(limitSchema),
       max_answer_bytes: valibot.optional(limitSchema, DEFAULT_MAX_ANSWER_BYTES),
     }),
     {},
@@ -102,6 +106,8 @@
     maxHeaderBytes: limits.max_header_bytes ?? DEFAULT_MAX_HEADER_BYTES,
     maxPromptTokens: limits.max_prompt_tokens ?? DEFAULT_MAX_PROMPT_TOKENS,
     maxOpenRequests: limits.max_open_requests ?? DEFAULT_MAX_OPEN_REQUESTS,
+    memoryMb: limits.memory_mb,
+    maxFds: limits.max_fds,
     maxAnswerBytes: limits.max_answer_bytes ?? DEFAULT_MAX_ANSWER_BYTES,
   };
 }
