--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -39,5 +39,9 @@
   readonly linkMbps: number;
   /** Whether the endpoints of all services start slowly; otherwise of those that are cold first. */
   readonly isPaceEnabled?: boolean;
+  /** Memory of the VM; undefined if it is not known. */
+  readonly memoryMb?: number | undefined;
+  /** Descriptors of the VM; undefined if they are not known. */
+  readonly maxFds?: number | undefined;
   readonly bounds: GatewayBounds;
 }
