The bundle contains only the dispatchers of undici

Cause: each process loads the whole package, with fetch, caches, mocks and WebSocket, 1.0 of the bundle's 1.9 MB. Change: the bundle takes the dispatchers alone.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -11,6 +11,8 @@
   target: "node20",
   format: "cjs",
   minifySyntax: true,
+  minifyWhitespace: true,
+  alias: { undici: "./deploy/undici_dispatchers.cjs" },
   tsconfig: "deploy/tsconfig.json",
   logLevel: "warning",
 });
