--- a/packages/bench/src/evacuation_mutations.ts
+++ b/packages/bench/src/evacuation_mutations.ts
@@ -5,7 +5,7 @@
 export const EVACUATION_MUTATIONS: readonly mutations.Mutation[] = [
   {
     name: "endpoints in evacuated zones are not usable",
-    file: "packages/gateway/src/gateway.ts",
+    file: "packages/gateway/src/endpoint_selection.ts",
     from: "      .filter((record) => evacuationAgent.isUsable(record));",
     to: "      .filter((record) => evacuationAgent !== undefined && record !== undefined);",
     test: "platform/dist/evacuation_test.js",
--- a/packages/bench/src/mutations.ts
+++ b/packages/bench/src/mutations.ts
@@ -3,6 +3,7 @@
 import * as configCheckMutations from "./config_check_mutations.ts";
 import * as evacuationMutations from "./evacuation_mutations.ts";
 import * as policyMutations from "./policy_mutations.ts";
+import * as streamMutations from "./stream_mutations.ts";
 
 /** A change to one place of the source code that breaks a guarantee. */
 export interface Mutation {
@@ -21,6 +22,7 @@
   ...policyMutations.POLICY_MUTATIONS,
   ...evacuationMutations.EVACUATION_MUTATIONS,
   ...configCheckMutations.CONFIG_CHECK_MUTATIONS,
+  ...streamMutations.STREAM_MUTATIONS,
   {
     name: "a request goes on a connection at most once",
     file: "packages/gateway/src/connection_pool.ts",
@@ -49,41 +51,6 @@
     to: "new undici.Agent({ connect })",
     test: "packages/engines/dist/http_engine_client_test.js",
   },
-  {
-    name: "an unframed stream whose engine has exited is broken",
-    file: "packages/gateway/src/end_check.ts",
-    from: 'if (listener === "refused") return "exited";',
-    to: "",
-    test: "platform/dist/moved_streams_test.js",
-  },
-  {
-    name: "an unframed stream whose engine has restarted is broken",
-    file: "packages/gateway/src/end_check.ts",
-    from: 'return hasRestarted ? createLostEnd("engine restarted") : options.end;',
-    to: "return options.end;",
-    test: "platform/dist/moved_streams_test.js",
-  },
-  {
-    name: "a resumed request names the last event that the caller has received",
-    file: "packages/gateway/src/generation_relay.ts",
-    from: "lastEventId: deliveredEvents > 0 ? lastEventId : undefined",
-    to: "lastEventId: deliveredEvents < 0 ? lastEventId : undefined",
-    test: "platform/dist/resumed_streams_test.js",
-  },
-  {
-    name: "garbled events of a resumable stream are not delivered",
-    file: "packages/gateway/src/generation_relay.ts",
-    from: "if (firstGarbled >= 0) {",
-    to: "if (firstGarbled < -1) {",
-    test: "platform/dist/resumed_streams_test.js",
-  },
-  {
-    name: "a request that may have run is not refused with 503 when a further engine refuses it",
-    file: "packages/gateway/src/stream_forwarder.ts",
-    from: 'if (attempts.outcome !== "not_run") return',
-    to: 'if (attempts.outcome === "failed") return',
-    test: "platform/dist/resumed_streams_test.js",
-  },
   {
     name: "a call without a caller ends at its deadline",
     file: "packages/gateway/src/open_request.ts",
@@ -91,13 +58,6 @@
     to: "clearTimeout(this.#deadlineTimer);",
     test: "platform/dist/stuck_calls_test.js",
   },
-  {
-    name: "generations that are placed together stay within the connection share",
-    file: "packages/gateway/src/stream_forwarder.ts",
-    from: "context.pool.holdConnection(endpoint.endpoint);",
-    to: "context.pool.holdConnection(`${endpoint.endpoint}0` as core.EndpointId);",
-    test: "platform/dist/connection_share_test.js",
-  },
   {
     name: "a request that has its answer gets no second one",
     file: "packages/gateway/src/front_server.ts",
@@ -189,13 +149,6 @@
     to: "",
     test: "platform/dist/planned_stop_test.js",
   },
-  {
-    name: "an unframed stream that is stopped for a move waits for the result of the copy",
-    file: "packages/gateway/src/run_stop.ts",
-    from: '(end.type === "whole" && end.isFramed)',
-    to: 'end.type === "whole"',
-    test: "platform/dist/moved_streams_test.js",
-  },
   {
     name: "a process gets no receipts for its predecessor's reports",
     file: "packages/gateway/src/last_reports.ts",
@@ -210,13 +163,6 @@
     to: "receipt === undefined",
     test: "packages/gateway/dist/peer_restart_test.js",
   },
-  {
-    name: "a prompt with a quarantined part is not sent to engines",
-    file: "packages/gateway/src/stream_forwarder.ts",
-    from: 'if (this.#isQuarantined(request, now)) return "prompt_quarantined";',
-    to: "",
-    test: "platform/dist/harmful_part_test.js",
-  },
   {
     name: "quarantines outlive a restart of all processes",
     file: "packages/gateway/src/quarantine_agent.ts",
@@ -233,7 +179,7 @@
   },
   {
     name: "no process exceeds its share of a limit that an endpoint names",
-    file: "packages/gateway/src/gateway.ts",
+    file: "packages/gateway/src/endpoint_selection.ts",
     from: ".filter((record) => signalAgent.canSend(record, now));",
     to: ";",
     test: "platform/dist/named_limit_test.js",
@@ -329,13 +275,6 @@
     to: "",
     test: "platform/dist/limits_test.js",
   },
-  {
-    name: "the stream from the engine is paused while the caller reads slowly",
-    file: "packages/gateway/src/generation_relay.ts",
-    from: "    upstream.pause();\n",
-    to: "",
-    test: "platform/dist/limits_test.js",
-  },
   {
     name: "with strict revocation, an API key requires a recently confirmed configuration",
     file: "packages/gateway/src/request_handler.ts",
@@ -386,20 +325,6 @@
     to: "return true;",
     test: "platform/dist/streams_test.js",
   },
-  {
-    name: "a stream that ends in the middle of an event is incomplete",
-    file: "packages/gateway/src/upstream_stream.ts",
-    from: "if (this.#splitter.pendingBytes > 0 || isUnstarted) {",
-    to: "if (isUnstarted) {",
-    test: "platform/dist/streams_test.js",
-  },
-  {
-    name: "an engine stops generating when its caller disconnects",
-    file: "packages/gateway/src/generation_relay.ts",
-    from: "if (!isStoppingRun) this.#upstream.abort(reason);",
-    to: "",
-    test: "platform/dist/streams_test.js",
-  },
   {
     name: "a process reports that it is not ready as soon as it starts to drain",
     file: "packages/gateway/src/gateway.ts",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import type * as codec from "./codec.ts";
 import * as pools from "./connection_pool.ts";
 import type * as controls from "./engine_control.ts";
+import * as selections from "./endpoint_selection.ts";
 import * as evacuations from "./evacuation_agent.ts";
 import type * as contexts from "./gateway_context.ts";
 import * as gauges from "./gateway_metrics.ts";
@@ -23,6 +24,7 @@
 import type * as peerOptions from "./peer_agent_options.ts";
 import * as quarantines from "./quarantine_agent.ts";
 import * as handlers from "./request_handler.ts";
+import * as retryBudgets from "./retry_budgets.ts";
 import type * as stores from "./routing_store.ts";
 import * as storeAgents from "./store_agent.ts";
 import * as signalAgents from "./signal_agent.ts";
@@ -56,14 +58,21 @@
   readonly #peerAgent: peerAgents.PeerAgent;
   readonly #leaveWatcher: leaveWatchers.LeaveWatcher;
   readonly #announcer: announcers.Announcer;
-  readonly #processCount = new policy.ProcessCount();
-  readonly #retryBudgets = new Map<core.ServiceName, policy.SlidingWindowRetryBudget>();
+  readonly #endpoints: selections.EndpointSelection;
+  readonly #retryBudgets = new retryBudgets.RetryBudgets(() =>
+    this.#context.settings.bounds.retries
+  );
   #isDraining = false;
   #expiryTimer: NodeJS.Timeout | undefined;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
     this.#context = this.#createContext();
+    this.#endpoints = new selections.EndpointSelection({
+      context: this.#context,
+      countProcesses: () => this.#peerAgent.knownPeerCount + 1,
+      getListedAt: () => this.#storeAgent.listedAt,
+    });
     this.#streamForwarder = new streams.StreamForwarder({
       context: this.#context,
       reportNow: () => this.#peerAgent.reportNow(),
@@ -186,7 +195,7 @@
     this.#context.settings = settings;
     this.#context.memory.updateMemory(settings.memoryMb);
     this.#frontServer.updateMaxConnections(policy.computeMaxConnections(settings.maxFds));
-    this.#retryBudgets.clear();
+    this.#retryBudgets.reset();
     this.#options.logger.write("settings_applied", {});
   }
 
@@ -276,7 +285,7 @@
         logger,
         directory,
         limitAgent,
-        listUsableEndpoints: (service) => this.#listUsableEndpoints(service),
+        listUsableEndpoints: (service) => this.#endpoints.listUsable(service),
         publishChanges,
       }),
       quarantineAgent: new quarantines.QuarantineAgent({
@@ -294,46 +303,17 @@
       }),
       engineControl: this.#options.engineControl,
       engineStarts: new policy.EngineStarts(),
-      getRetryBudget: (service) => this.#getRetryBudget(service),
+      getRetryBudget: (service) => this.#retryBudgets.getBudget(service),
       getProcessCount: () => Math.max(MIN_PROCESS_COUNT, this.#peerAgent.knownPeerCount + 1),
       getReportLagMs: () => this.#peerAgent.reportLagMs,
       recordClosingAnswer: (endpoint) => this.#leaveWatcher.recordClosingAnswer(endpoint),
       publishChanges,
       getEngineProfile: (service) => config.inForce?.config.services.get(service)?.engine,
-      listEndpoints: (service) => this.#listConnectableEndpoints(service),
-      listEngines: (service) => {
-        const profile = config.inForce?.config.services.get(service)?.engine;
-        const records = this.#listConnectableEndpoints(service);
-        if (profile === undefined) return records.map(policy.createUnprofiledEngine);
-        return records.map((record) => ({ record, profile }));
-      },
+      listEndpoints: (service) => this.#endpoints.listConnectable(service),
+      listEngines: (service) => this.#endpoints.listEngines(service),
     };
   }
 
-  /** Returns the endpoints that may get new work: they do not leave, nor is their zone evacuated. */
-  #listUsableEndpoints(service: core.ServiceName): core.EndpointRecord[] {
-    const { directory, evacuationAgent } = this.#context;
-    return directory.listUsableEndpoints(service)
-      .filter((record) => evacuationAgent.isUsable(record));
-  }
-
-  /**
-   * Returns the usable endpoints that this process may send to now: their own statements permit it,
-   * and there is an idle connection or room for another one in this process's share of the service's
-   * connection limit.
-   */
-  #listConnectableEndpoints(service: core.ServiceName): core.EndpointRecord[] {
-    const { config, pool, signalAgent } = this.#context;
-    const now = this.#options.clock.now();
-    const records = this.#listUsableEndpoints(service)
-      .filter((record) => signalAgent.canSend(record, now));
-    const maxConnections = config.inForce?.config.services.get(service)?.maxConnections;
-    if (maxConnections === undefined) return records;
-    const processCount = this.#countConnectionSharers(now);
-    const connectionLimit = policy.computeConnectionShare(maxConnections, processCount);
-    return records.filter((record) => pool.canSend(record.endpoint, connectionLimit));
-  }
-
   #createReport(now: number, scope: peerOptions.ReportScope): peerOptions.OwnReport {
     const { enginePlacement, directory, config, quarantineAgent, limitAgent, signalAgent } =
       this.#context;
@@ -414,23 +394,7 @@
     this.#context.limitAgent.update(this.#context.directory.listUsableInstances(), now);
     this.#context.signalAgent.expirePauses(now);
     // Peaks between requests count too.
-    this.#countConnectionSharers(now);
+    this.#endpoints.recordProcessCount(now);
     this.#publishChanges(this.#context.directory.expireInstances(now));
   }
-
-  /** Returns the number of processes that the connection limits of endpoints are divided by. */
-  #countConnectionSharers(now: number): number {
-    const { listedAt } = this.#storeAgent;
-    const isStarting = listedAt === undefined || policy.isLinking(listedAt, now);
-    return this.#processCount.getCount(this.#peerAgent.knownPeerCount + 1, { isStarting, now });
-  }
-
-  #getRetryBudget(service: core.ServiceName): policy.SlidingWindowRetryBudget {
-    let budget = this.#retryBudgets.get(service);
-    if (budget === undefined) {
-      budget = new policy.SlidingWindowRetryBudget(this.#context.settings.bounds.retries);
-      this.#retryBudgets.set(service, budget);
-    }
-    return budget;
-  }
 }
--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -13,6 +13,7 @@
 import * as retries from "./retry_decision.ts";
 import * as silences from "./silence_watcher.ts";
 import * as streamAttempts from "./stream_attempts.ts";
+import * as waitings from "./waiting_generation.ts";
 
 export interface StreamForwarderOptions {
   readonly context: contexts.GatewayContext;
@@ -35,12 +36,6 @@
   readonly resolve: (endpoint: core.EndpointRecord | NoEngineReason) => void;
 }
 
-/** Size assumed for a generation whose request does not declare its size. */
-const DEFAULT_GENERATION_SIZE: policy.GenerationSize = {
-  promptTokens: 1_000,
-  maxOutputTokens: 1_000,
-  expectedOutputTokens: undefined,
-};
 /**
  * Mean interval between attempts to place waiting generations; shorter than the interval of
  * 100 ms at which other processes report their loads.
@@ -86,7 +81,7 @@
     const attempts = new streamAttempts.StreamAttempts();
     context.getRetryBudget(routed.service).recordRequest(context.clock.now());
     for (;;) {
-      const generation = this.#createWaiting(request, routed, attempts);
+      const generation = waitings.createWaitingGeneration(context, request, routed, attempts);
       const replacement = attempts.takeReplacement();
       const endpoint = replacement ??
         await this.#acquireEngine(request, routed, { generation, attempts });
@@ -257,7 +252,16 @@
     const { request, routed, attempts, endpoint } = relay;
     if (this.#queue.size > 0 || this.#isQuarantined(request, now)) return undefined;
     const avoid = new Set([...attempts.triedInstances, endpoint.instance]);
-    return this.#chooseEngine(this.#createWaiting(request, routed, attempts), now, avoid);
+    return this.#chooseEngine(
+      waitings.createWaitingGeneration(
+        this.#options.context,
+        request,
+        routed,
+        attempts,
+      ),
+      now,
+      avoid,
+    );
   }
 
   #chooseEngine(
@@ -368,41 +372,4 @@
       detail: "the engine's answer was lost",
     }));
   }
-
-  /** Describes what is left of a generation after the attempts so far. */
-  #createWaiting(
-    request: requests.OpenRequest,
-    routed: requests.RoutedRequest,
-    attempts: streamAttempts.StreamAttempts,
-  ): policy.WaitingGeneration {
-    const size = request.head.generation ?? DEFAULT_GENERATION_SIZE;
-    const profile = this.#options.context.getEngineProfile(routed.service);
-    const generatedTokens = attempts.deliveredEvents * (profile?.tokensPerEvent ?? 1);
-    return createWaitingGeneration(request, routed, {
-      size: generatedTokens > 0 ? policy.computeRemainingSize(size, generatedTokens) : size,
-      targetBy: attempts.ranAttempts > 0
-        ? attempts.getAbandonAt(request, routed.route)
-        : request.arrivedAt + routed.route.targetLatencyMs,
-    });
-  }
-}
-
-function createWaitingGeneration(
-  request: requests.OpenRequest,
-  routed: requests.RoutedRequest,
-  options: { readonly size: policy.GenerationSize; readonly targetBy: number },
-): policy.WaitingGeneration {
-  return {
-    request: request.id,
-    service: routed.service,
-    size: options.size,
-    rank: routed.rank,
-    workspace: routed.workspace,
-    arrivedAt: request.arrivedAt,
-    targetBy: options.targetBy,
-    // A new configuration or a planned stop lowers the deadline of a request that waits.
-    get answerBy() {
-      return request.answerBy;
-    },
-  };
 }
