--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -279,6 +279,7 @@
         avoid: avoid ?? new Set(),
         random: context.random,
         rank: generation.rank,
+        isBoundToZone: generation.isBoundToZone === true,
         reportLagMs: context.getReportLagMs(),
       },
     );
