Answers of steady readers are not cut under memory pressure

Cause: while others wait for room, an answer without progress for 1 s was closed; a caller that reads from megabytes in the buffers of the operating system shows progress in larger steps. Change: 10 s for answers.

--- a/packages/bench/src/policy_mutations.ts
+++ b/packages/bench/src/policy_mutations.ts
@@ -189,7 +189,7 @@
   {
     name: "callers that stand still are closed while others wait for their memory",
     file: "packages/policy/src/caller_memory.ts",
-    from: "isShort && stallMs >= PRESSURE_STALL_MS && isLarge(holder)",
+    from: "isShort && stallMs >= pressureStallMs && isLarge(holder)",
     to: "isShort && stallMs < 0",
     test: "packages/policy/dist/caller_memory_test.js",
   },
--- a/packages/policy/src/caller_memory.ts
+++ b/packages/policy/src/caller_memory.ts
@@ -51,8 +51,13 @@
 const PAUSED_COST_BYTES = 128 * 1024;
 /** Longest wait for room. A caller that is refused then still has time for another attempt. */
 const MAX_WAIT_MS = 1_000;
-/** Time without progress after which a holder is closed while others wait for room. */
+/** Time without progress after which a body is closed while others wait for room. */
 const PRESSURE_STALL_MS = 1_000;
+/**
+ * The same for an answer. Its caller reads from a buffer of megabytes in the operating system, so
+ * that progress shows in steps of seconds; 1 s cut answers of callers that read steadily.
+ */
+const SENDING_PRESSURE_STALL_MS = 10_000;
 /** Bytes that count as progress; a caller that sends fewer in the time limit is stalled. */
 const PROGRESS_BYTES = 16 * 1024;
 /** Time in which a caller has to read something of its answer; requests end within 39 s. */
@@ -270,10 +275,11 @@
       const stallMs = holder.measureStallMs(now);
       const isReceiving = holder.phase === "receiving";
       const weight = holder.totalBytes * stallMs;
+      const pressureStallMs = isReceiving ? PRESSURE_STALL_MS : SENDING_PRESSURE_STALL_MS;
       if (stallMs >= (isReceiving ? bodyStallMs : UNREAD_TIMEOUT_MS)) {
         const reason = isReceiving ? "body_stalled" : "answer_not_read";
         stalled.push({ holder, reason, weight: Infinity });
-      } else if (isShort && stallMs >= PRESSURE_STALL_MS && isLarge(holder)) {
+      } else if (isShort && stallMs >= pressureStallMs && isLarge(holder)) {
         stalled.push({ holder, reason: "memory_pressure", weight });
       }
     }
--- a/packages/policy/src/caller_memory_test.ts
+++ b/packages/policy/src/caller_memory_test.ts
@@ -70,6 +70,25 @@
   t.end();
 });
 
+// A caller that reads from the operating system's buffers shows no progress for seconds. Answers of
+// such callers were cut while others waited for room.
+tap.t.test("an answer whose caller reads in large steps is not closed under pressure", (t) => {
+  const account = createAccount(18);
+  const reader = account.addHolder(500, 0);
+  account.acquireRoom(reader, "answer", 8 * MIB, 0);
+  reader.setPhase("sending", 0);
+  const waiting = [100, 4_000].map((at) => {
+    const holder = account.addHolder(500, at);
+    return account.acquireRoom(holder, "body", 8 * MIB, at);
+  });
+  t.same(waiting, ["waiting", "waiting"]);
+  t.same(account.sweep(4_500, STALL_MS).closed, []);
+  const late = account.addHolder(500, 10_000);
+  account.acquireRoom(late, "body", 8 * MIB, 10_000);
+  t.same(account.sweep(10_100, STALL_MS).closed, [{ holder: reader, reason: "memory_pressure" }]);
+  t.end();
+});
+
 tap.t.test("a caller that sends, or whose endpoint is at work, is not closed", (t) => {
   const account = createAccount(16);
   const holders = Array.from({ length: 3 }, () => account.addHolder(500, 0));
