--- a/packages/gateway/src/stream_forwarder.ts
+++ b/packages/gateway/src/stream_forwarder.ts
@@ -279,7 +279,6 @@
         avoid: avoid ?? new Set(),
         random: context.random,
         rank: generation.rank,
-        isBoundToZone: generation.isBoundToZone === true,
         reportLagMs: context.getReportLagMs(),
       },
     );
--- a/packages/gateway/src/waiting_generation.ts
+++ b/packages/gateway/src/waiting_generation.ts
@@ -32,8 +32,6 @@
     targetBy: attempts.ranAttempts > 0
       ? attempts.getAbandonAt(request, routed.route)
       : request.arrivedAt + routed.route.targetLatencyMs,
-    isBoundToZone: !routed.route.isResumable &&
-      context.config.inForce?.resumableServices.has(routed.service) === true,
     // A new configuration or a planned stop lowers the deadline of a request that waits.
     get answerBy() {
       return request.answerBy;
--- a/packages/policy/src/config_register.ts
+++ b/packages/policy/src/config_register.ts
@@ -12,8 +12,6 @@
 export interface ConfigInForce {
   readonly config: core.RoutingConfig;
   readonly table: tables.RouteTable;
-  /** Services with a route whose streams may be resumed. */
-  readonly resumableServices: ReadonlySet<core.ServiceName>;
 }
 
 /** Holds one configuration; neither its release nor its confirmation time ever decreases. */
@@ -43,11 +41,7 @@
     if (currentRelease !== undefined && config.release < currentRelease) return false;
     this.#confirmedAt = Math.max(this.#confirmedAt, requestedAt);
     if (currentRelease === config.release) return false;
-    this.#inForce = {
-      config,
-      table: new tables.RouteTable(config.routes),
-      resumableServices: collectResumableServices(config),
-    };
+    this.#inForce = { config, table: new tables.RouteTable(config.routes) };
     return true;
   }
 
@@ -72,12 +66,3 @@
     return now - this.#confirmedAt;
   }
 }
-
-function collectResumableServices(config: core.RoutingConfig): ReadonlySet<core.ServiceName> {
-  const services = new Set<core.ServiceName>();
-  for (const route of config.routes) {
-    if (!route.isResumable) continue;
-    for (const { service } of route.targets) services.add(service);
-  }
-  return services;
-}
--- a/packages/policy/src/engine_placement.ts
+++ b/packages/policy/src/engine_placement.ts
@@ -1,8 +1,7 @@
 /**
  * Chooses the model engine for a generation by the memory that the engine's runs will need and
  * by the prompt tokens that the engine still has to process. Handles load peaks of long
- * generations, engines of different speed, engines that are reclaimed at short notice, and zones
- * that are cut off while generations run.
+ * generations, engines of different speed, and engines that are reclaimed at short notice.
  */
 
 import type * as core from "@peridotvale/core";
@@ -70,11 +69,6 @@
 /** An engine in another zone is chosen only if its share of memory in use is this much lower. */
 const REMOTE_ZONE_PENALTY_SHARE = 0.3;
 const REMOTE_ZONE_MOVE_PENALTY_SHARE = 0.6;
-/**
- * Further penalty for each second that a generation is predicted to run, if it is lost when the
- * zones are cut off from each other: the longer it runs, the more likely it meets such a cut.
- */
-const REMOTE_ZONE_PENALTY_SHARE_PER_S = 0.1;
 
 /** Predicts the tokens, prompt included, that a generation holds in memory at its end. */
 export function predictTotalTokens(size: GenerationSize, generatedTokens: number): number {
@@ -83,10 +77,6 @@
   return size.promptTokens + Math.min(size.maxOutputTokens, outputTokens);
 }
 
-function predictOutputMs(size: GenerationSize, tokenMs: number): number {
-  return (predictTotalTokens(size, 0) - size.promptTokens) * tokenMs;
-}
-
 /** Creates the candidate for an engine without a profile, which is limited by its slots only. */
 export function createUnprofiledEngine(record: core.EndpointRecord): EngineCandidate {
   return {
@@ -141,8 +131,6 @@
       readonly rank: number;
       /** Whether a running generation is moved; a copy across zones takes twice as long. */
       readonly isMove?: boolean;
-      /** Whether the generation is lost if the engine's zone is cut off from this one. */
-      readonly isBoundToZone?: boolean;
       /** Age of the loads of other processes when they arrive; 0 if it does not matter. */
       readonly reportLagMs?: number;
     },
@@ -163,9 +151,6 @@
       score *= engine.tokenMs / INITIAL_TOKEN_MS;
       if (record.zone !== options.zone) {
         score += options.isMove ? REMOTE_ZONE_MOVE_PENALTY_SHARE : REMOTE_ZONE_PENALTY_SHARE;
-        if (options.isBoundToZone === true) {
-          score += REMOTE_ZONE_PENALTY_SHARE_PER_S * predictOutputMs(size, engine.tokenMs) / 1_000;
-        }
       }
       score += 0.01 * options.random.next();
       // Score by which the engine would be worse after an equal placement by another process.
--- a/packages/policy/src/generation_queue.ts
+++ b/packages/policy/src/generation_queue.ts
@@ -20,8 +20,6 @@
   readonly targetBy: number;
   /** Deadline of the generation's last event. */
   readonly answerBy: number;
-  /** Whether it cannot go on elsewhere once its engine's zone is cut off from this process. */
-  readonly isBoundToZone?: boolean;
 }
 
 /** Places a generation at an engine with room; returns false if there is none. */
