Slow start only where the settings ask for it

Change: ColdStartS alone no longer activates it; the cold limit stays. The checks of the slow start run with Limits.Pace set.

--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -37,7 +37,7 @@
   readonly peers: ListenAddress;
   /** Bandwidth of the VM's network link; 0 if it is not known. */
   readonly linkMbps: number;
-  /** Whether the endpoints of all services start slowly; otherwise of those that are cold first. */
+  /** Whether endpoints start slowly. */
   readonly isPaceEnabled?: boolean;
   /** Memory of the VM; undefined if it is not known. */
   readonly memoryMb?: number | undefined;
--- a/packages/gateway/src/limit_agent.ts
+++ b/packages/gateway/src/limit_agent.ts
@@ -86,7 +86,7 @@
     report: policy.AttemptReport,
     startedAt: number,
   ): void {
-    if (!this.#isPaced(endpoint.service)) return;
+    if (!this.#options.isPaceEnabled()) return;
     const now = this.#options.clock.now();
     const change = this.#pace.recordEnd(endpoint.instance, report, { startedAt, now });
     if (change !== undefined) this.#writePace(endpoint.instance, change);
@@ -190,7 +190,7 @@
   #getPermit(endpoint: core.EndpointRecord, now: number): policy.SendPermit | undefined {
     const service = this.#options.getService(endpoint.service);
     if (service === undefined) return undefined;
-    const isPaced = this.#options.isPaceEnabled() || service.coldStartMs > 0;
+    const isPaced = this.#options.isPaceEnabled();
     const isLimited = service.coldPerS > 0;
     if (!isLimited && !isPaced) return undefined;
     this.#observeRecord(endpoint, now);
@@ -231,14 +231,8 @@
     if (isStart) this.#startPace(endpoint, now);
   }
 
-  /** Whether the endpoints of `service` start slowly. */
-  #isPaced(service: core.ServiceName): boolean {
-    if (this.#options.isPaceEnabled()) return true;
-    return (this.#options.getService(service)?.coldStartMs ?? 0) > 0;
-  }
-
   #startPace(endpoint: core.EndpointRecord, now: number): void {
-    if (!this.#isPaced(endpoint.service)) return;
+    if (!this.#options.isPaceEnabled()) return;
     const originAt = this.#coldLimits.getOriginAt(endpoint.instance);
     this.#pace.startPace(endpoint.instance, originAt, now);
     this.#writePace(endpoint.instance, "trial");
--- a/packages/gateway/src/limit_agent_test.ts
+++ b/packages/gateway/src/limit_agent_test.ts
@@ -19,7 +19,7 @@
   };
 }
 
-function createAgent(lines: string[]): agents.LimitAgent {
+function createAgent(lines: string[], isPaceEnabled = false): agents.LimitAgent {
   const rules = new Map([["cold", { coldStartMs: 10_000, coldPerS: 2 }], ["plain", {
     coldStartMs: 0,
     coldPerS: 0,
@@ -33,7 +33,7 @@
     countPrecedingPeers: () => 0,
     listKnownPeers: () => [],
     getBounds: () => ({}),
-    isPaceEnabled: () => false,
+    isPaceEnabled: () => isPaceEnabled,
     getListedAt: () => 0,
     getService: (name) => ({
       name,
@@ -79,6 +79,22 @@
   t.equal(countSends(agent, cold, 15_000), 100, "warm again");
   const text = lines.join("\n");
   t.match(text, /endpoint_cold instance=c per_s=2 .* processes=1\n[^]*endpoint_warm instance=c/);
+  t.end();
+});
+
+tap.t.test("the endpoints of a restored zone start slowly where the settings enable it", (t) => {
+  const lines: string[] = [];
+  const agent = createAgent(lines, true);
+  const cold = createEndpoint("c", "cold");
+  clock.now = 100;
+  agent.update([cold], 100);
+  agent.recordAnnouncement(100);
+  agent.recordZoneRestored(ZONE, 5_000);
+  agent.update([cold], 5_000);
+  t.ok(countSends(agent, cold, 5_000) <= 8);
+  agent.update([cold], 15_000);
+  t.equal(countSends(agent, cold, 15_000), 100, "warm again");
+  const text = lines.join("\n");
   t.match(text, /endpoint_paced instance=c phase=trial\n[^]*endpoint_paced instance=c phase=full/);
   t.end();
 });
