--- a/packages/gateway/src/limit_agent.ts
+++ b/packages/gateway/src/limit_agent.ts
@@ -19,7 +19,7 @@
   readonly getBounds: () => { readonly cold?: policy.ColdBounds };
   /** Returns the time of the first listing of the store; undefined before it. */
   readonly getListedAt: () => number | undefined;
-  /** Whether all services start slowly, not only those with cold endpoints. */
+  /** Whether endpoints start slowly. */
   readonly isPaceEnabled: () => boolean;
   readonly getService: (service: core.ServiceName) => core.RoutedService | undefined;
 }
