Bodies of failures are summed up as they arrive

Cause: with each chunk, the lengths of all chunks before were added up again, up to 1 MiB of them; each chunk was kept as an object of its own.

The body is now appended to one buffer, whose length is known.

--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -5,6 +5,7 @@
 
 import type * as core from "@peridotvale/core";
 import * as answers from "./answer_check.ts";
+import * as collectors from "./byte_collector.ts";
 import type * as codec from "./codec.ts";
 import * as pools from "./connection_pool.ts";
 import * as splitters from "./event_splitter.ts";
@@ -64,7 +65,7 @@
   readonly #codec: codec.HeaderCodec;
   readonly #listener: UpstreamListener;
   readonly #splitter = new splitters.EventSplitter();
-  readonly #failureChunks: Buffer[] = [];
+  readonly #failureBody = new collectors.ByteCollector();
   #exchange: pools.Exchange | undefined;
   #hasDelivered: boolean;
   #connectionUse: pools.ConnectionUse | undefined;
@@ -144,10 +145,9 @@
   onData(chunk: Buffer): void {
     if (this.#hasEnded || this.#fault !== undefined) return;
     if (this.#status >= FIRST_NON_SUCCESS_STATUS) {
-      this.#failureChunks.push(chunk);
-      const bodyBytes = this.#failureChunks.reduce((sum, part) => sum + part.length, 0);
-      this.#request.flow.recordPending(bodyBytes);
-      if (bodyBytes > MAX_FAILURE_BODY_BYTES) this.abort("failure too large");
+      this.#failureBody.append(chunk);
+      this.#request.flow.recordPending(this.#failureBody.length);
+      if (this.#failureBody.length > MAX_FAILURE_BODY_BYTES) this.abort("failure too large");
       return;
     }
     const events = this.#splitter.push(chunk);
@@ -167,7 +167,7 @@
       return fault.outcome === "not_run";
     }
     if (this.#status >= FIRST_NON_SUCCESS_STATUS) {
-      const body = Buffer.concat(this.#failureChunks);
+      const body = this.#failureBody.take();
       this.#end({ type: "failed", status: this.#status, headers: this.#headers, body });
       return true;
     }
