An answer without a length may end while it is paused

Callers lost all open requests of a process: it ended with an assertion of undici while a caller did not read its stream.

Cause: the pool paused undici's parser. When the end of a connection delimits the answer, undici asserts at that end that the parser is not paused; nothing catches the failure.

The pool now holds the socket, which returns no data meanwhile, and never pauses the parser. Pieces of one read that follow a pause are collected with headroom, as bodies are already.

The test failed before with that assertion.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,6 +3,7 @@
 export * from "./clock.ts";
 export * from "./disposer.ts";
 export * from "./document.ts";
+export * from "./holdable_socket.ts";
 export * from "./ids.ts";
 export * from "./invariant.ts";
 export * from "./log.ts";
--- a/packages/gateway/src/answer_collector.ts
+++ b/packages/gateway/src/answer_collector.ts
@@ -3,7 +3,7 @@
  * has to wait for room is not read on; if there is none in time, the answer is cut off.
  */
 
-import * as policy from "@peridotvale/policy";
+import type * as policy from "@peridotvale/policy";
 import * as collectors from "./byte_collector.ts";
 import type * as pools from "./connection_pool.ts";
 import type * as memories from "./memory_agent.ts";
@@ -44,10 +44,7 @@
     const length = this.#collector.length + chunk.length;
     if (length > this.#options.maxBytes) return this.#abort("answer too large");
     const isWhole = this.#collector.length === 0 && chunk.length === this.#announcedBytes;
-    if (!isWhole && length > this.#collector.capacity) {
-      const doubledBytes = Math.min(2 * this.#collector.capacity, policy.SMALL_BYTES);
-      this.#collector.updateCapacity(Math.max(length, doubledBytes, this.#grantedBytes));
-    }
+    if (!isWhole) this.#collector.makeRoom(length, this.#grantedBytes);
     this.#collector.add(chunk);
     if (length <= this.#grantedBytes || this.#isWaiting) return;
     this.#acquireCapacity(Math.min(this.#options.maxBytes, 2 * length));
--- a/packages/gateway/src/body_reader.ts
+++ b/packages/gateway/src/body_reader.ts
@@ -89,7 +89,7 @@
       return;
     }
     const isWhole = this.#collector.length === 0 && chunk.length === this.#announcedBytes;
-    if (!isWhole && length > this.#collector.capacity) this.#updateCapacity(length);
+    if (!isWhole) this.#collector.makeRoom(length, Math.max(MIN_CAPACITY, this.#grantedBytes));
     this.#collector.add(chunk);
     if (length <= this.#grantedBytes || this.#isWaiting) return;
     this.#acquireCapacity(this.#chooseCapacity(length));
@@ -112,15 +112,6 @@
     this.#pause();
   }
 
-  /** Makes room for `length` bytes, which have arrived already. */
-  #updateCapacity(length: number): void {
-    const doubledBytes = Math.max(MIN_CAPACITY, 2 * this.#collector.capacity);
-    const capacity = length <= policy.SMALL_BYTES
-      ? Math.max(length, Math.min(doubledBytes, policy.SMALL_BYTES))
-      : length + policy.SMALL_BYTES;
-    this.#collector.updateCapacity(Math.max(this.#grantedBytes, capacity));
-  }
-
   /** Chooses the next size of a body whose length is not announced. */
   #chooseCapacity(length: number): number {
     const { maxBodyBytes } = this.#options;
--- a/packages/gateway/src/byte_collector.ts
+++ b/packages/gateway/src/byte_collector.ts
@@ -3,6 +3,8 @@
  * hundred bytes while it is kept as an object of its own.
  */
 
+import * as policy from "@peridotvale/policy";
+
 /** Smallest buffer of a collector that increases its capacity by itself. */
 const MIN_CAPACITY = 256;
 
@@ -44,6 +46,18 @@
     this.#length += piece.length;
   }
 
+  /**
+   * Increases the capacity to at least `length`, with headroom: pieces that arrive while the sender
+   * is being paused are not copied one by one.
+   */
+  makeRoom(length: number, minCapacity: number): void {
+    if (length <= this.capacity) return;
+    const capacity = length <= policy.SMALL_BYTES
+      ? Math.max(length, Math.min(2 * this.capacity, policy.SMALL_BYTES))
+      : length + policy.SMALL_BYTES;
+    this.updateCapacity(Math.max(capacity, minCapacity));
+  }
+
   /** Increases the capacity. Memory that was not written to is not resident. */
   updateCapacity(capacity: number): void {
     if (capacity <= this.capacity) return;
--- a/packages/gateway/src/connection_pool.ts
+++ b/packages/gateway/src/connection_pool.ts
@@ -4,7 +4,6 @@
  * answer are therefore never read as part of another.
  */
 
-import * as net from "node:net";
 import * as core from "@peridotvale/core";
 import * as undici from "undici";
 
@@ -52,6 +51,7 @@
 /** Controls a request and its answer: aborts them, or pauses the delivery of the answer. */
 export interface Exchange {
   abort(reason: string): void;
+  /** Pauses the reading of the answer; what has been read already is still delivered. */
   pause(): void;
   resume(): void;
 }
@@ -74,6 +74,7 @@
   readonly id: core.ConnectionId;
   readonly #client: undici.Client;
   readonly #onClose: (connection: EndpointConnection) => void;
+  #socket: core.HoldableSocket | undefined;
   /** Whether the connection was reset or had an error, instead of closing normally. */
   #isBroken = false;
   #carriedRequests = 0;
@@ -102,6 +103,11 @@
     let controller: undici.Dispatcher.DispatchController | undefined;
     let abortReason: string | undefined;
     let isUnframed = false;
+    let hasEnded = false;
+    const finish = () => {
+      hasEnded = true;
+      this.#socket?.release();
+    };
     const use = { connection: this.id, carriedRequests: this.#carriedRequests };
     this.#carriedRequests += 1;
     this.#client.dispatch(
@@ -127,11 +133,15 @@
         },
         onResponseData: (_controller, chunk) => listener.onData(chunk),
         onResponseEnd: () => {
+          finish();
           // undici treats a reset as the end of an answer that states no length.
           if (!isUnframed || !this.#isBroken) return void listener.onEnd();
           listener.onError(new Error("reset before the end"));
         },
-        onResponseError: (_controller, error) => listener.onError(error),
+        onResponseError: (_controller, error) => {
+          finish();
+          listener.onError(error);
+        },
       },
     );
     return {
@@ -140,8 +150,12 @@
         if (controller === undefined) this.destroy();
         else controller.abort(new Error(reason));
       },
-      pause: () => controller?.pause(),
-      resume: () => controller?.resume(),
+      pause: () => {
+        if (!hasEnded) this.#socket?.hold();
+      },
+      resume: () => {
+        if (!hasEnded) this.#socket?.release();
+      },
     };
   }
 
@@ -165,7 +179,9 @@
     callback: undici.buildConnector.Callback,
   ): void {
     this.#isBroken = false;
-    const socket = net.connect({ host: options.hostname, port: Number(options.port) });
+    const socket = new core.HoldableSocket();
+    this.#socket = socket;
+    socket.connect({ host: options.hostname, port: Number(options.port) });
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_PROBE_DELAY_MS);
     const onConnectError = (error: Error) => {
--- a/packages/gateway/src/connection_pool_test.ts
+++ b/packages/gateway/src/connection_pool_test.ts
@@ -79,6 +79,39 @@
   },
 );
 
+/** Sends a request and pauses its answer with the first data, for longer than the answer takes. */
+function sendPaused(endpoint: core.EndpointId, path: string): Promise<string> {
+  const pool = new pools.ConnectionPool();
+  return new Promise((resolve) => {
+    const exchange = pool.send(endpoint, {
+      method: "GET",
+      path,
+      headers: [],
+      body: undefined,
+      avoidedConnections: NO_CONNECTIONS,
+    }, {
+      onSent: () => {},
+      onHead: () => {},
+      onData: () => {
+        exchange.pause();
+        setTimeout(() => exchange.resume(), 100);
+      },
+      onEnd: () => {
+        resolve("whole");
+        return true;
+      },
+      onError: () => resolve("broken"),
+    });
+  });
+}
+
+// The parser was paused when the connection ended, and its failed assertion ended the process.
+tap.t.test("an answer without a length may end while it is paused", async (t) => {
+  const endpoint = await startServer(t);
+  t.equal(await sendPaused(endpoint, "/end"), "whole");
+  t.equal(await sendPaused(endpoint, "/reset"), "broken");
+});
+
 tap.t.test(
   "canSend is false while an endpoint has its maximum number of connections",
   async (t) => {
