Bytes of servers are processed in limited portions per turn of the event loop

Callers saw calls to sound servers answered late while many answers of another server came in small pieces without end.

Cause: everything that had arrived on a connection was parsed in one go, 10 ms for a read of 64 KiB in chunks of one byte, up to 32 reads in a row, for one connection after the other.

A connection now returns slices of 4 KiB. After 0.5 ms in a turn it waits in a queue that has 5 ms in each turn. A gauge counts the waiting ones.

--- a/packages/gateway/src/connection_pool.ts
+++ b/packages/gateway/src/connection_pool.ts
@@ -72,21 +72,25 @@
 class EndpointConnection {
   readonly endpoint: core.EndpointId;
   readonly id: core.ConnectionId;
+  readonly #clock: core.Clock;
   readonly #client: undici.Client;
   readonly #onClose: (connection: EndpointConnection) => void;
-  #socket: core.HoldableSocket | undefined;
+  #socket: core.PacedSocket | undefined;
   /** Whether the connection was reset or had an error, instead of closing normally. */
   #isBroken = false;
   #carriedRequests = 0;
   isClosed = false;
 
-  constructor(
-    endpoint: core.EndpointId,
-    id: core.ConnectionId,
-    onClose: (connection: EndpointConnection) => void,
-  ) {
+  constructor(options: {
+    readonly endpoint: core.EndpointId;
+    readonly id: core.ConnectionId;
+    readonly clock: core.Clock;
+    readonly onClose: (connection: EndpointConnection) => void;
+  }) {
+    const { endpoint } = options;
     this.endpoint = endpoint;
-    this.id = id;
+    this.id = options.id;
+    this.#clock = options.clock;
     this.#client = new undici.Client(`http://${endpoint}`, {
       connect: (options, callback) => this.#connect(options, callback),
       pipelining: 1,
@@ -95,7 +99,7 @@
       keepAliveTimeout: DEFAULT_ENDPOINT_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
     });
-    this.#onClose = onClose;
+    this.#onClose = options.onClose;
     this.#client.on("disconnect", () => this.#close());
   }
 
@@ -179,7 +183,7 @@
     callback: undici.buildConnector.Callback,
   ): void {
     this.#isBroken = false;
-    const socket = new core.HoldableSocket();
+    const socket = new core.PacedSocket(this.#clock);
     this.#socket = socket;
     socket.connect({ host: options.hostname, port: Number(options.port) });
     socket.setNoDelay(true);
@@ -211,6 +215,7 @@
 
 /** Sends requests to endpoints and reuses their connections. */
 export class ConnectionPool {
+  readonly #clock: core.Clock;
   readonly #idleConnections = new Map<core.EndpointId, EndpointConnection[]>();
   /** Number of connections per endpoint, both idle and in use. */
   readonly #connectionCounts = new Map<core.EndpointId, number>();
@@ -219,6 +224,10 @@
   /** Number of connections opened since the start, including those that are closed again. */
   openedCount = 0;
 
+  constructor(clock: core.Clock) {
+    this.#clock = clock;
+  }
+
   /**
    * Sends a request to `endpoint`. Uses the connection that has been idle longest, because
    * late bytes of an earlier answer are detected while a connection is idle.
@@ -300,7 +309,8 @@
     this.openedCount += 1;
     this.#connectionCounts.set(endpoint, (this.#connectionCounts.get(endpoint) ?? 0) + 1);
     const id = core.createId<core.ConnectionId>(`${this.openedCount}`);
-    return new EndpointConnection(endpoint, id, (closed) => this.#removeConnection(closed));
+    const onClose = (closed: EndpointConnection) => this.#removeConnection(closed);
+    return new EndpointConnection({ endpoint, id, clock: this.#clock, onClose });
   }
 
   #keepIdle(connection: EndpointConnection): void {
--- a/packages/gateway/src/connection_pool_test.ts
+++ b/packages/gateway/src/connection_pool_test.ts
@@ -43,7 +43,7 @@
 }
 
 function sendOnce(endpoint: core.EndpointId, path: string): Promise<string> {
-  const pool = new pools.ConnectionPool();
+  const pool = new pools.ConnectionPool(new core.SystemClock());
   return new Promise((resolve) => {
     pool.send(endpoint, {
       method: "GET",
@@ -81,7 +81,7 @@
 
 /** Sends a request and pauses its answer with the first data, for longer than the answer takes. */
 function sendPaused(endpoint: core.EndpointId, path: string): Promise<string> {
-  const pool = new pools.ConnectionPool();
+  const pool = new pools.ConnectionPool(new core.SystemClock());
   return new Promise((resolve) => {
     const exchange = pool.send(endpoint, {
       method: "GET",
@@ -116,7 +116,7 @@
   "canSend is false while an endpoint has its maximum number of connections",
   async (t) => {
     const endpoint = await startServer(t);
-    const pool = new pools.ConnectionPool();
+    const pool = new pools.ConnectionPool(new core.SystemClock());
     const requestEnds: Promise<void>[] = [];
     for (let i = 0; i < 3; i++) {
       t.equal(pool.canSend(endpoint, 3), true);
@@ -149,7 +149,7 @@
 );
 
 tap.t.test("a connection that could not be established is not counted as open", async (t) => {
-  const pool = new pools.ConnectionPool();
+  const pool = new pools.ConnectionPool(new core.SystemClock());
   const unreachable = core.createId<core.EndpointId>("127.0.0.1:1");
   const error = await new Promise<Error>((resolve) => {
     pool.send(unreachable, {
@@ -183,7 +183,7 @@
   const endpoint = core.createId<core.EndpointId>(`127.0.0.1:${port}`);
   let isUsable = true;
   const end = new Promise<string>((resolve) => {
-    new pools.ConnectionPool().send(endpoint, {
+    new pools.ConnectionPool(new core.SystemClock()).send(endpoint, {
       method: "GET",
       path: "/",
       headers: [],
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -272,7 +272,7 @@
       metrics,
       random,
       codec: this.#options.codec,
-      pool: new pools.ConnectionPool(),
+      pool: new pools.ConnectionPool(clock),
       config,
       directory,
       callPlacement: new policy.CallPlacement(),
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -1,7 +1,7 @@
 /** Registers the gauges of a gateway process and writes its metrics. */
 
 import type * as http from "node:http";
-import type * as core from "@peridotvale/core";
+import * as core from "@peridotvale/core";
 import type * as contexts from "./gateway_context.ts";
 import type * as peerAgents from "./peer_agent.ts";
 import type * as handlers from "./request_handler.ts";
@@ -67,6 +67,11 @@
   register("cold_endpoints", "Endpoints with the rate of a cold one.", () => limitAgent.coldCount);
   register("paced_endpoints", "Endpoints in slow start.", () => limitAgent.pacedCount);
   register("opened_connections", "Connections to endpoints.", () => pool.openedCount);
+  register(
+    "waiting_reads",
+    "Connections to endpoints and the store whose bytes wait for a later turn of the event loop.",
+    core.countWaitingReads,
+  );
   register("open_links", "Links to other processes.", () => peerAgent.linkCount);
   register("linked_processes", "Processes that report.", () => peerLoads.processCount);
 }
