A refusal ends its attempt although its body does not end

Callers saw generations without an answer until their deadline, and orders answered 502 that had not run: a server refused them with a body without end.

Cause: the body of an answer that cannot be used was read to its end, so that its connection could be reused, although the head states the outcome.

64 KiB of such a body are read; then the connection is closed and the attempt ends with the head's outcome.

--- a/packages/gateway/src/answer_check.ts
+++ b/packages/gateway/src/answer_check.ts
@@ -26,6 +26,11 @@
 }
 
 const FIRST_NON_SUCCESS_STATUS = 300;
+/**
+ * Largest part of a body that is read although its answer cannot be used. A connection whose body
+ * ends within it is kept.
+ */
+export const MAX_UNUSED_BODY_BYTES = 64 * 1024;
 
 /**
  * Returns why an answer cannot be sent to the caller, or undefined if it can. An answer to
--- a/packages/gateway/src/call_forwarder.ts
+++ b/packages/gateway/src/call_forwarder.ts
@@ -280,6 +280,8 @@
   #answerStatus = 0;
   #answerHeaders: codec.RawHeaders = [];
   #answerHead: codec.AnswerHead | undefined;
+  #fault: answers.AnswerFault | undefined;
+  #unusedBytes = 0;
   readonly #body: collectors.AnswerCollector;
 
   constructor(options: {
@@ -327,19 +329,26 @@
     const { codec, onAnswerHead } = this.#options;
     const head = codec.decodeAnswer(status, headers);
     this.#answerHead = head;
-    const fault = this.#findFault();
-    if (fault?.outcome !== "unknown") onAnswerHead(head);
-    if (!this.#hasEnded) this.#body.startAnswer(headers);
+    this.#fault = answers.findAnswerFault(status, head, {
+      id: this.#options.request.id,
+      isConnectionReused: (this.#connectionUse?.carriedRequests ?? 0) > 0,
+    });
+    if (this.#fault?.outcome !== "unknown") onAnswerHead(head);
+    if (this.#fault === undefined && !this.#hasEnded) this.#body.startAnswer(headers);
   }
 
   onData(chunk: Buffer): void {
-    this.#body.add(chunk);
+    if (this.#fault === undefined) return this.#body.add(chunk);
+    this.#unusedBytes += chunk.length;
+    if (this.#hasEnded || this.#unusedBytes <= answers.MAX_UNUSED_BODY_BYTES) return;
+    this.#failFaulty(this.#fault);
+    this.#exchange?.abort(this.#fault.reason);
   }
 
   onEnd(): boolean {
-    const fault = this.#findFault();
+    const fault = this.#fault;
     if (fault !== undefined) {
-      this.#fail(fault.outcome, fault.outcome === "not_run" ? "refused" : "failed", fault.reason);
+      this.#failFaulty(fault);
       return fault.outcome === "not_run";
     }
     this.#end({
@@ -362,11 +371,8 @@
     this.#fail("not_run", "unreachable", `not_sent: ${message}`);
   }
 
-  #findFault(): answers.AnswerFault | undefined {
-    return answers.findAnswerFault(this.#answerStatus, this.#answerHead, {
-      id: this.#options.request.id,
-      isConnectionReused: (this.#connectionUse?.carriedRequests ?? 0) > 0,
-    });
+  #failFaulty({ outcome, reason }: answers.AnswerFault): void {
+    this.#fail(outcome, outcome === "not_run" ? "refused" : "failed", reason);
   }
 
   #fail(outcome: core.FailureOutcome, report: policy.AttemptReport, reason: string): void {
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -71,6 +71,7 @@
   #connectionUse: pools.ConnectionUse | undefined;
   #hasEnded = false;
   #fault: answers.AnswerFault | undefined;
+  #unusedBytes = 0;
   #status = 0;
   #headers: codec.RawHeaders = [];
 
@@ -143,7 +144,8 @@
   }
 
   onData(chunk: Buffer): void {
-    if (this.#hasEnded || this.#fault !== undefined) return;
+    if (this.#hasEnded) return;
+    if (this.#fault !== undefined) return this.#dropUnused(chunk, this.#fault);
     if (this.#status >= FIRST_NON_SUCCESS_STATUS) {
       this.#failureBody.append(chunk);
       this.#request.flow.recordPending(this.#failureBody.length);
@@ -162,8 +164,7 @@
   onEnd(): boolean {
     const fault = this.#fault;
     if (fault !== undefined) {
-      const { outcome, reason } = fault;
-      this.#end({ type: "broken", outcome, reason, cause: "answer" });
+      this.#endFaulty(fault);
       return fault.outcome === "not_run";
     }
     if (this.#status >= FIRST_NON_SUCCESS_STATUS) {
@@ -200,6 +201,18 @@
     });
   }
 
+  /** Drops a part of the body of a faulty answer; does not wait for the end of a long one. */
+  #dropUnused(chunk: Buffer, fault: answers.AnswerFault): void {
+    this.#unusedBytes += chunk.length;
+    if (this.#unusedBytes <= answers.MAX_UNUSED_BODY_BYTES) return;
+    this.#endFaulty(fault);
+    this.#exchange?.abort(fault.reason);
+  }
+
+  #endFaulty({ outcome, reason }: answers.AnswerFault): void {
+    this.#end({ type: "broken", outcome, reason, cause: "answer" });
+  }
+
   #end(end: UpstreamEnd): void {
     if (this.#hasEnded) return;
     this.#hasEnded = true;
