An interim status is not passed on in place of the answer

Callers of generations got a status of 1xx instead of the server's answer, and then nothing, or nothing before their deadline.

Cause: undici hands over the head of an interim answer like that of the answer, and the first head that passed the checks of identity began the caller's response.

The pool passes on heads of final answers only. It skips up to eight interim ones; further ones and a status below 100 end the attempt as broken.

--- a/packages/gateway/src/connection_pool.ts
+++ b/packages/gateway/src/connection_pool.ts
@@ -66,6 +66,12 @@
  * the endpoint closes the connection.
  */
 const IDLE_TIMEOUT_MARGIN_MS = 500;
+/** Bytes with a status below this one are no answer in the protocol. */
+const FIRST_STATUS = 100;
+/** A status below this one announces an answer that is still to come. */
+const FIRST_FINAL_STATUS = 200;
+/** Interim answers that may precede an answer; further ones do not lead to one. */
+const MAX_INTERIM_ANSWERS = 8;
 /** Idle time after which TCP probes whether the endpoint still responds. */
 const KEEP_ALIVE_PROBE_DELAY_MS = 2_000;
 
@@ -107,6 +113,7 @@
     let controller: undici.Dispatcher.DispatchController | undefined;
     let abortReason: string | undefined;
     let isUnframed = false;
+    let interimAnswers = 0;
     let hasEnded = false;
     const finish = () => {
       hasEnded = true;
@@ -130,6 +137,11 @@
         },
         onResponseStart: (dispatchController, status) => {
           controller = dispatchController;
+          if (status < FIRST_FINAL_STATUS) {
+            interimAnswers += 1;
+            if (status >= FIRST_STATUS && interimAnswers <= MAX_INTERIM_ANSWERS) return;
+            return dispatchController.abort(new Error(`status ${status} without an answer`));
+          }
           const rawHeaders = (dispatchController.rawHeaders ?? []) as Buffer[];
           const headers = rawHeaders.map((value) => value.toString("latin1"));
           isUnframed = !hasBodyFraming(headers);
