--- a/packages/gateway/src/byte_collector.ts
+++ b/packages/core/src/byte_collector.ts
@@ -3,10 +3,12 @@
  * hundred bytes while it is kept as an object of its own.
  */
 
-import * as policy from "@peridotvale/policy";
+import type * as stream from "node:stream";
 
 /** Smallest buffer of a collector that increases its capacity by itself. */
 const MIN_CAPACITY = 256;
+/** Capacity that a collector of more than that keeps beyond its length. */
+const HEADROOM_BYTES = 64 * 1024;
 
 /** Collects pieces; the first one is not copied unless another one follows. */
 export class ByteCollector {
@@ -52,9 +54,9 @@
    */
   makeRoom(length: number, minCapacity: number): void {
     if (length <= this.capacity) return;
-    const capacity = length <= policy.SMALL_BYTES
-      ? Math.max(length, Math.min(2 * this.capacity, policy.SMALL_BYTES))
-      : length + policy.SMALL_BYTES;
+    const capacity = length <= HEADROOM_BYTES
+      ? Math.max(length, Math.min(2 * this.capacity, HEADROOM_BYTES))
+      : length + HEADROOM_BYTES;
     this.updateCapacity(Math.max(capacity, minCapacity));
   }
 
@@ -78,3 +80,29 @@
     this.#length = 0;
   }
 }
+
+/**
+ * Reads a body into one buffer. Rejects, and destroys the body, if it has more than `maxBytes` or
+ * fails.
+ */
+export function collectBody(body: stream.Readable, maxBytes: number): Promise<Buffer> {
+  const collector = new ByteCollector();
+  return new Promise((resolve, reject) => {
+    body.on("data", (piece: Buffer) => {
+      if (body.destroyed) return;
+      if (collector.length + piece.length <= maxBytes) return collector.append(piece);
+      body.destroy(new BodyTooLargeError(maxBytes));
+    });
+    body.once("end", () => resolve(collector.take()));
+    body.once("error", reject);
+    body.once("close", () => reject(new Error("the body was cut off")));
+  });
+}
+
+/** Thrown when a body exceeds the size limit of its reader. */
+export class BodyTooLargeError extends Error {
+  override readonly name = "BodyTooLargeError";
+  constructor(maxBytes: number) {
+    super(`body exceeds ${maxBytes} bytes`);
+  }
+}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -1,5 +1,6 @@
 /** Types and helpers that all other packages share; contains no feature of its own. */
 export * from "./background_task.ts";
+export * from "./byte_collector.ts";
 export * from "./clock.ts";
 export * from "./disposer.ts";
 export * from "./document.ts";
--- a/packages/gateway/src/answer_collector.ts
+++ b/packages/gateway/src/answer_collector.ts
@@ -3,8 +3,8 @@
  * has to wait for room is not read on; if there is none in time, the answer is cut off.
  */
 
+import * as core from "@peridotvale/core";
 import type * as policy from "@peridotvale/policy";
-import * as collectors from "./byte_collector.ts";
 import type * as pools from "./connection_pool.ts";
 import type * as memories from "./memory_agent.ts";
 
@@ -17,7 +17,7 @@
 
 export class AnswerCollector {
   readonly #options: AnswerCollectorOptions;
-  readonly #collector = new collectors.ByteCollector();
+  readonly #collector = new core.ByteCollector();
   #announcedBytes = 0;
   /** Capacity that the account has granted. */
   #grantedBytes = 0;
--- a/packages/gateway/src/body_reader.ts
+++ b/packages/gateway/src/body_reader.ts
@@ -5,8 +5,8 @@
  */
 
 import type * as http from "node:http";
+import * as core from "@peridotvale/core";
 import * as policy from "@peridotvale/policy";
-import * as collectors from "./byte_collector.ts";
 import type * as memories from "./memory_agent.ts";
 
 export type BodyResult =
@@ -29,7 +29,7 @@
 
 export class BodyReader {
   readonly #options: BodyReaderOptions;
-  readonly #collector = new collectors.ByteCollector();
+  readonly #collector = new core.ByteCollector();
   /** Length that the head announces; undefined if the body is sent in chunks. */
   readonly #announcedBytes: number | undefined;
   /** Capacity that the account has granted. */
--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -4,7 +4,7 @@
  */
 
 import * as buffer from "node:buffer";
-import * as collectors from "./byte_collector.ts";
+import * as core from "@peridotvale/core";
 
 /** A complete event. */
 export interface StreamEvent {
@@ -25,7 +25,7 @@
 
 /** Buffers the bytes of a stream until they form a complete event. */
 export class EventSplitter {
-  readonly #incompleteEvent = new collectors.ByteCollector();
+  readonly #incompleteEvent = new core.ByteCollector();
 
   /**
    * Adds the next bytes of the stream; returns the events that are now complete, in order. Bytes
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -3,9 +3,8 @@
  * and reports whether the stream was completed, was refused with an error status or broke off.
  */
 
-import type * as core from "@peridotvale/core";
+import * as core from "@peridotvale/core";
 import * as answers from "./answer_check.ts";
-import * as collectors from "./byte_collector.ts";
 import type * as codec from "./codec.ts";
 import * as pools from "./connection_pool.ts";
 import * as splitters from "./event_splitter.ts";
@@ -65,7 +64,7 @@
   readonly #codec: codec.HeaderCodec;
   readonly #listener: UpstreamListener;
   readonly #splitter = new splitters.EventSplitter();
-  readonly #failureBody = new collectors.ByteCollector();
+  readonly #failureBody = new core.ByteCollector();
   #exchange: pools.Exchange | undefined;
   #hasDelivered: boolean;
   #connectionUse: pools.ConnectionUse | undefined;
