The entry process collects answers in one buffer, with a limit

An entry process ran out of memory when the store, the list of VMs or an engine answered a call in chunks of one byte without end.

Cause: as for control calls of the gateway, undici kept each piece of a body until its end; here there was no limit on bytes either.

The clients use collectBody, with limits, on paced connections. A connection that is not established in time fails with undici's code, which proves that nothing was sent.

--- a/packages/core/src/paced_socket.ts
+++ b/packages/core/src/paced_socket.ts
@@ -130,6 +130,12 @@
 
 type ConnectCallback = (...result: [Error, null] | [null, net.Socket]) => void;
 
+/** No byte of a request was sent. The code is that of undici's own error. */
+class ConnectTimeoutError extends Error {
+  override readonly name = "ConnectTimeoutError";
+  readonly code = "UND_ERR_CONNECT_TIMEOUT";
+}
+
 /**
  * Creates a function that opens paced connections, for undici's option `connect`. One that is not
  * established within `timeoutMs` fails.
@@ -141,7 +147,7 @@
   return (options, callback) => {
     const socket = new PacedSocket(clock);
     const timer = setTimeout(
-      () => socket.destroy(new Error(`no connection within ${timeoutMs} ms`)),
+      () => socket.destroy(new ConnectTimeoutError(`no connection within ${timeoutMs} ms`)),
       timeoutMs,
     );
     const fail = (error: Error) => {
--- a/packages/engines/src/http_engine_client.ts
+++ b/packages/engines/src/http_engine_client.ts
@@ -30,6 +30,9 @@
   chat: "/v1/chat/completions",
 } as const;
 
+/** A larger answer is cut off; lists of generations and cache events have some kilobytes. */
+const MAX_ANSWER_BYTES = 1024 * 1024;
+
 interface WireCacheEvents {
   readonly last: number;
   readonly events: readonly {
@@ -52,7 +55,7 @@
 
   constructor(options: HttpEngineClientOptions) {
     this.#options = options;
-    const connect = { timeout: options.connectTimeoutMs };
+    const connect = core.createPacedConnector(new core.SystemClock(), options.connectTimeoutMs);
     this.#readAgent = new undici.Agent({ connect });
     this.#agent = new undici.Agent({ connect, pipelining: 0 });
   }
@@ -221,7 +224,8 @@
       if (response.statusCode !== 200) {
         return neverthrow.err(await readErrorResponse(response));
       }
-      return neverthrow.ok(await response.body.json());
+      const body = await core.collectBody(response.body, MAX_ANSWER_BYTES);
+      return neverthrow.ok(JSON.parse(body.toString("utf8")));
     } catch (error) {
       return neverthrow.err(errors.createEngineError(error));
     }
@@ -249,7 +253,8 @@
 async function readErrorResponse(
   response: undici.Dispatcher.ResponseData,
 ): Promise<errors.EngineError> {
-  const message = (await response.body.text()).slice(0, 200);
+  const body = await core.collectBody(response.body, MAX_ANSWER_BYTES);
+  const message = body.toString("utf8").slice(0, 200);
   const status = response.statusCode;
   if (status === 404) {
     return { outcome: "not_run", code: "unknown_generation", message };
--- a/packages/platform/src/etcd_store.ts
+++ b/packages/platform/src/etcd_store.ts
@@ -5,8 +5,10 @@
  */
 
 import * as stringDecoder from "node:string_decoder";
+import * as core from "@peridotvale/core";
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
+import * as agents from "./agent.ts";
 import * as errors from "./errors.ts";
 import type * as store from "./key_value_store.ts";
 
@@ -54,7 +56,7 @@
   constructor(options: EtcdStoreOptions) {
     this.#url = options.url;
     this.#timeoutMs = options.timeoutMs;
-    this.#agent = new undici.Agent({ connect: { timeout: options.timeoutMs } });
+    this.#agent = agents.createAgent(options.url, options.timeoutMs);
   }
 
   /** Number of calls made so far, including opened watches. */
@@ -184,7 +186,7 @@
         bodyTimeout: this.#timeoutMs,
         signal: AbortSignal.timeout(this.#timeoutMs),
       });
-      const text = await body.text();
+      const text = (await core.collectBody(body, agents.MAX_ANSWER_BYTES)).toString("utf8");
       if (statusCode === 200) return neverthrow.ok(JSON.parse(text) as T);
       if (statusCode >= 500) {
         return neverthrow.err({
--- a/packages/platform/src/vm_list.ts
+++ b/packages/platform/src/vm_list.ts
@@ -1,8 +1,10 @@
 /** Client of the platform's VM list, which is JSON over HTTP. The list can be out of date. */
 
+import * as core from "@peridotvale/core";
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
 import * as valibot from "valibot";
+import * as agents from "./agent.ts";
 import * as errors from "./errors.ts";
 import type * as store from "./key_value_store.ts";
 
@@ -29,18 +31,22 @@
 export class HttpVmList implements VmList {
   readonly #url: string;
   readonly #timeoutMs: number;
+  readonly #agent: undici.Agent;
 
   constructor(options: { readonly url: string; readonly timeoutMs: number }) {
-    this.#url = options.url;
-    this.#timeoutMs = options.timeoutMs;
+    const { url, timeoutMs } = options;
+    this.#agent = agents.createAgent(url, timeoutMs);
+    this.#url = url;
+    this.#timeoutMs = timeoutMs;
   }
 
   async read(): store.PlatformResult<readonly VmEntry[]> {
     try {
       const { statusCode, body } = await undici.request(`${this.#url}/vms`, {
+        dispatcher: this.#agent,
         signal: AbortSignal.timeout(this.#timeoutMs),
       });
-      const text = await body.text();
+      const text = (await core.collectBody(body, agents.MAX_ANSWER_BYTES)).toString("utf8");
       if (statusCode !== 200) {
         return neverthrow.err({
           type: "rejected",
--- a/packages/services/src/errors.ts
+++ b/packages/services/src/errors.ts
@@ -15,19 +15,10 @@
   readonly message: string;
 }
 
-/** Thrown when the body of an answer exceeds the size limit. */
-export class AnswerTooLargeError extends Error {
-  override readonly name = "AnswerTooLargeError";
-
-  constructor(maxBytes: number) {
-    super(`answer exceeds ${maxBytes} bytes`);
-  }
-}
-
 /** Converts an error of the HTTP client into a {@linkcode ServiceError}. */
 export function createServiceError(error: unknown): ServiceError {
   const { notSent, code, name, message } = core.readNetworkFailure(error);
-  if (error instanceof AnswerTooLargeError) {
+  if (error instanceof core.BodyTooLargeError) {
     return { outcome: "unknown", code: "answer_too_large", message };
   }
   if (notSent) return { outcome: "not_run", code: "unreachable", message };
--- a/packages/services/src/service_client.ts
+++ b/packages/services/src/service_client.ts
@@ -1,6 +1,6 @@
 /** Client of plain services over HTTP. Answers are read completely before they are returned. */
 
-import type * as core from "@peridotvale/core";
+import * as core from "@peridotvale/core";
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
 import * as errors from "./errors.ts";
@@ -52,12 +52,14 @@
 /** {@linkcode ServiceClient} over HTTP. */
 export class HttpServiceClient implements ServiceClient {
   readonly #options: HttpServiceClientOptions;
+  readonly #connect: undici.buildConnector.connector;
   readonly #agent: undici.Agent;
 
   constructor(options: HttpServiceClientOptions) {
     this.#options = options;
+    this.#connect = core.createPacedConnector(new core.SystemClock(), options.connectTimeoutMs);
     this.#agent = new undici.Agent({
-      connect: { timeout: options.connectTimeoutMs },
+      connect: this.#connect,
     });
   }
 
@@ -70,7 +72,7 @@
       return await this.#send(endpoint, call, this.#agent, options.signal);
     }
     const connection = new undici.Client(`http://${endpoint}`, {
-      connect: { timeout: this.#options.connectTimeoutMs },
+      connect: this.#connect,
       pipelining: 0,
     });
     try {
@@ -120,16 +122,10 @@
   response: undici.Dispatcher.ResponseData,
   maxBytes: number,
 ): Promise<ServiceAnswer> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  for await (const chunk of response.body) {
-    size += (chunk as Uint8Array).length;
-    if (size > maxBytes) throw new errors.AnswerTooLargeError(maxBytes);
-    chunks.push(chunk as Uint8Array);
-  }
+  const body = await core.collectBody(response.body, maxBytes);
   const headers: Record<string, string> = {};
   for (const [name, value] of Object.entries(response.headers)) {
     if (value !== undefined) headers[name] = String(value);
   }
-  return { status: response.statusCode, headers, body: Buffer.concat(chunks) };
+  return { status: response.statusCode, headers, body };
 }
