The connection pool opens connections as the other clients do

The pool and the paced connector each had the time-out and the listeners of a connection that is being opened; the pool now only watches the established one for a reset.

--- a/packages/core/src/paced_socket.ts
+++ b/packages/core/src/paced_socket.ts
@@ -120,7 +120,7 @@
 }
 
 /** Where a connection leads, as undici states it. */
-interface ConnectOptions {
+export interface ConnectOptions {
   readonly hostname: string;
   readonly port: string;
 }
@@ -128,7 +128,11 @@
 /** Idle time after which TCP probes whether the other side still responds. */
 const KEEP_ALIVE_PROBE_DELAY_MS = 60_000;
 
-type ConnectCallback = (...result: [Error, null] | [null, PacedSocket]) => void;
+/** Opens a connection, and passes it on once it is established. */
+export type PacedConnector = (
+  options: ConnectOptions,
+  callback: (...result: [Error, null] | [null, PacedSocket]) => void,
+) => void;
 
 /** No byte of a request was sent. The code is that of undici's own error. */
 class ConnectTimeoutError extends Error {
@@ -140,10 +144,7 @@
  * Creates a function that opens paced connections, for undici's option `connect`. One that is not
  * established within `timeoutMs` fails.
  */
-export function createPacedConnector(
-  clock: clocks.Clock,
-  timeoutMs: number,
-): (options: ConnectOptions, callback: ConnectCallback) => void {
+export function createPacedConnector(clock: clocks.Clock, timeoutMs: number): PacedConnector {
   return (options, callback) => {
     const socket = new PacedSocket(clock);
     const timer = setTimeout(
--- a/packages/engines/src/http_engine_client.ts
+++ b/packages/engines/src/http_engine_client.ts
@@ -46,7 +46,7 @@
 /** {@linkcode client.EngineClient} over HTTP. */
 export class HttpEngineClient implements client.EngineClient {
   readonly #options: HttpEngineClientOptions;
-  readonly #connect: ReturnType<typeof core.createPacedConnector>;
+  readonly #connect: core.PacedConnector;
   /** For calls that only read, and may be repeated. */
   readonly #readAgent: undici.Agent;
   /**
--- a/packages/engines/src/stream_connection.ts
+++ b/packages/engines/src/stream_connection.ts
@@ -19,7 +19,7 @@
 
   constructor(
     endpoint: core.EndpointId,
-    connect: ReturnType<typeof core.createPacedConnector>,
+    connect: core.PacedConnector,
   ) {
     this.client = new undici.Client(`http://${endpoint}`, {
       pipelining: 0,
--- a/packages/gateway/src/connection_pool.ts
+++ b/packages/gateway/src/connection_pool.ts
@@ -78,7 +78,6 @@
 class EndpointConnection {
   readonly endpoint: core.EndpointId;
   readonly id: core.ConnectionId;
-  readonly #clock: core.Clock;
   readonly #client: undici.Client;
   readonly #onClose: (connection: EndpointConnection) => void;
   #socket: core.PacedSocket | undefined;
@@ -90,15 +89,18 @@
   constructor(options: {
     readonly endpoint: core.EndpointId;
     readonly id: core.ConnectionId;
-    readonly clock: core.Clock;
+    readonly connect: core.PacedConnector;
     readonly onClose: (connection: EndpointConnection) => void;
   }) {
     const { endpoint } = options;
     this.endpoint = endpoint;
     this.id = options.id;
-    this.#clock = options.clock;
     this.#client = new undici.Client(`http://${endpoint}`, {
-      connect: (options, callback) => this.#connect(options, callback),
+      connect: (target, callback) =>
+        options.connect(target, (...result) => {
+          if (result[1] !== null) this.#attachSocket(result[1]);
+          callback(...result);
+        }),
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -190,44 +192,25 @@
     this.#onClose(this);
   }
 
-  #connect(
-    options: undici.buildConnector.Options,
-    callback: undici.buildConnector.Callback,
-  ): void {
-    this.#isBroken = false;
-    const socket = new core.PacedSocket(this.#clock);
+  /** Watches the connection, once it is established, for a reset. */
+  #attachSocket(socket: core.PacedSocket): void {
     this.#socket = socket;
-    socket.connect({ host: options.hostname, port: Number(options.port) });
-    socket.setNoDelay(true);
+    this.#isBroken = false;
     socket.setKeepAlive(true, KEEP_ALIVE_PROBE_DELAY_MS);
-    const onConnectError = (error: Error) => {
-      clearTimeout(timer);
-      callback(error, null);
-    };
-    const timer = setTimeout(
-      () => socket.destroy(new undici.errors.ConnectTimeoutError()),
-      CONNECT_TIMEOUT_MS,
-    );
-    socket.once("error", onConnectError);
-    socket.once("connect", () => {
-      clearTimeout(timer);
-      socket.off("error", onConnectError);
-      socket.on("error", () => {
-        this.#isBroken = true;
-      });
-      // libuv reports a reset that arrives together with data as a normal end. A socket that
-      // was reset has no remote address any more.
-      socket.once("end", () => {
-        if (socket.remoteAddress === undefined) this.#isBroken = true;
-      });
-      callback(null, socket);
+    socket.on("error", () => {
+      this.#isBroken = true;
+    });
+    // libuv reports a reset that arrives together with data as a normal end. A socket that
+    // was reset has no remote address any more.
+    socket.once("end", () => {
+      if (socket.remoteAddress === undefined) this.#isBroken = true;
     });
   }
 }
 
 /** Sends requests to endpoints and reuses their connections. */
 export class ConnectionPool {
-  readonly #clock: core.Clock;
+  readonly #connect: core.PacedConnector;
   readonly #idleConnections = new Map<core.EndpointId, EndpointConnection[]>();
   /** Number of connections per endpoint, both idle and in use. */
   readonly #connectionCounts = new Map<core.EndpointId, number>();
@@ -237,7 +220,7 @@
   openedCount = 0;
 
   constructor(clock: core.Clock) {
-    this.#clock = clock;
+    this.#connect = core.createPacedConnector(clock, CONNECT_TIMEOUT_MS);
   }
 
   /**
@@ -322,7 +305,7 @@
     this.#connectionCounts.set(endpoint, (this.#connectionCounts.get(endpoint) ?? 0) + 1);
     const id = core.createId<core.ConnectionId>(`${this.openedCount}`);
     const onClose = (closed: EndpointConnection) => this.#removeConnection(closed);
-    return new EndpointConnection({ endpoint, id, clock: this.#clock, onClose });
+    return new EndpointConnection({ endpoint, id, connect: this.#connect, onClose });
   }
 
   #keepIdle(connection: EndpointConnection): void {
--- a/packages/services/src/service_client.ts
+++ b/packages/services/src/service_client.ts
@@ -52,7 +52,7 @@
 /** {@linkcode ServiceClient} over HTTP. */
 export class HttpServiceClient implements ServiceClient {
   readonly #options: HttpServiceClientOptions;
-  readonly #connect: undici.buildConnector.connector;
+  readonly #connect: core.PacedConnector;
   readonly #agent: undici.Agent;
 
   constructor(options: HttpServiceClientOptions) {
