--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -2,6 +2,7 @@
 export * from "./caller.ts";
 export * from "./caller_load.ts";
 export * from "./child_cleanup.ts";
+export * from "./endless_server.ts";
 export * from "./engine_model.ts";
 export * from "./engine_standin.ts";
 export * from "./test_fleet.ts";
--- a/packages/standins/src/small_pieces_test.ts
+++ b/packages/standins/src/small_pieces_test.ts
@@ -1,6 +1,6 @@
-import * as net from "node:net";
 import * as workers from "node:worker_threads";
 import * as tap from "tap";
+import * as servers from "./endless_server.ts";
 
 /** Heap of a small entry process. */
 const MAX_HEAP_MB = 96;
@@ -36,29 +36,6 @@
 
 type Teardown = { teardown(callback: () => unknown): void };
 
-/** Starts a server that sends chunks without end; returns its address. */
-async function startServer(t: Teardown, chunks: Buffer): Promise<string> {
-  const sockets = new Set<net.Socket>();
-  const server = net.createServer((socket) => {
-    const send = () => {
-      while (!socket.destroyed && socket.write(chunks));
-    };
-    sockets.add(socket);
-    socket.on("error", () => {});
-    socket.on("drain", send);
-    socket.once("data", () => {
-      socket.write(HEAD);
-      send();
-    });
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", () => resolve()));
-  t.teardown(() => {
-    for (const socket of sockets) socket.destroy();
-    server.close();
-  });
-  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
-}
-
 /** Runs `source` in a thread; returns the longest delay of its event loop in ms, or its error. */
 async function runCall(t: Teardown, source: string, chunks: Buffer): Promise<number | string> {
   const worker = new workers.Worker(
@@ -72,7 +49,7 @@
     })();`,
     {
       eval: true,
-      workerData: await startServer(t, chunks),
+      workerData: await servers.startEndlessServer(t, HEAD, chunks),
       resourceLimits: { maxOldGenerationSizeMb: MAX_HEAP_MB },
     },
   );
