--- a/packages/core/src/byte_collector.ts
+++ b/packages/core/src/byte_collector.ts
@@ -34,7 +34,7 @@
    * Adds a copy of a piece. The capacity grows by a factor, so that the time for all pieces is
    * proportional to their bytes.
    */
-  append(piece: Buffer): void {
+  addCopy(piece: Buffer): void {
     const length = this.#length + piece.length;
     if (length > this.capacity) {
       this.updateCapacity(Math.max(MIN_CAPACITY, length, 2 * this.capacity));
@@ -91,7 +91,7 @@
   return new Promise((resolve, reject) => {
     body.on("data", (piece: Buffer) => {
       if (body.destroyed) return;
-      if (collector.length + piece.length <= maxBytes) return collector.append(piece);
+      if (collector.length + piece.length <= maxBytes) return collector.addCopy(piece);
       body.destroy(new BodyTooLargeError(maxBytes));
     });
     body.once("end", () => resolve(collector.take()));
@@ -122,11 +122,11 @@
     for (;;) {
       const end = chunk.indexOf(LINE_FEED, start);
       if (end < 0) break;
-      this.#incompleteLine.append(chunk.subarray(start, end));
+      this.#incompleteLine.addCopy(chunk.subarray(start, end));
       lines.push(this.#incompleteLine.take().toString("utf8"));
       start = end + 1;
     }
-    if (start < chunk.length) this.#incompleteLine.append(chunk.subarray(start));
+    if (start < chunk.length) this.#incompleteLine.addCopy(chunk.subarray(start));
     if (this.#incompleteLine.length <= this.#maxLineBytes) return lines;
     throw new BodyTooLargeError(this.#maxLineBytes);
   }
--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -33,7 +33,7 @@
    */
   push(chunk: Buffer): StreamEvent[] {
     const searchedBytes = this.#incompleteEvent.length;
-    if (searchedBytes > 0) this.#incompleteEvent.append(chunk);
+    if (searchedBytes > 0) this.#incompleteEvent.addCopy(chunk);
     const bytes = searchedBytes > 0 ? this.#incompleteEvent.bytes : chunk;
     const events: StreamEvent[] = [];
     let start = 0;
@@ -52,7 +52,7 @@
     }
     if (searchedBytes > 0 && start === 0) return events;
     this.#incompleteEvent.drop();
-    if (start < bytes.length) this.#incompleteEvent.append(bytes.subarray(start));
+    if (start < bytes.length) this.#incompleteEvent.addCopy(bytes.subarray(start));
     return events;
   }
 
--- a/packages/gateway/src/upstream_stream.ts
+++ b/packages/gateway/src/upstream_stream.ts
@@ -146,7 +146,7 @@
     if (this.#hasEnded) return;
     if (this.#fault !== undefined) return this.#dropUnused(chunk, this.#fault);
     if (this.#status >= FIRST_NON_SUCCESS_STATUS) {
-      this.#failureBody.append(chunk);
+      this.#failureBody.addCopy(chunk);
       this.#request.flow.recordPending(this.#failureBody.length);
       if (this.#failureBody.length > MAX_FAILURE_BODY_BYTES) this.abort("failure too large");
       return;
