A refusal by an engine is one although its body does not end

An entry process answered a generation with an unknown outcome that an engine had refused, when the refusal's body went on.

Cause: the body is read for its message, and a body over the limit failed the call as a lost connection.

The status states the outcome; a body over the limit only leaves the message out.

--- a/packages/engines/src/http_engine_client.ts
+++ b/packages/engines/src/http_engine_client.ts
@@ -260,8 +260,7 @@
 async function readErrorResponse(
   response: undici.Dispatcher.ResponseData,
 ): Promise<errors.EngineError> {
-  const body = await core.collectBody(response.body, MAX_ANSWER_BYTES);
-  const message = body.toString("utf8").slice(0, 200);
+  const message = await readMessage(response);
   const status = response.statusCode;
   if (status === 404) {
     return { outcome: "not_run", code: "unknown_generation", message };
@@ -276,6 +275,17 @@
   };
 }
 
+/** Reads the message of an error; the status states the outcome also if its body does not end. */
+async function readMessage(response: undici.Dispatcher.ResponseData): Promise<string> {
+  try {
+    const body = await core.collectBody(response.body, MAX_ANSWER_BYTES);
+    return body.toString("utf8").slice(0, 200);
+  } catch (error) {
+    if (error instanceof core.BodyTooLargeError) return error.message;
+    throw error;
+  }
+}
+
 function createMismatchError(receivedRequestId: string): errors.EngineError {
   return {
     outcome: "unknown",
